--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,73 @@
+//! The one clock type of the system: whole milliseconds.
+//!
+//! An instant is the number of milliseconds since an origin that the shell picks (its start), and a
+//! span is a number of milliseconds; both are [`Millis`]. Subtraction saturates, because a late
+//! event may carry an earlier instant than the one already seen.
+
+use std::{fmt, ops, str};
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// An instant or a span, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The origin, or an empty span.
+    pub const ZERO: Self = Self(0);
+    /// Later than every instant that occurs.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// The span from `earlier` to `self`; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// `self` scaled by `factor`, rounded down; negative factors give zero.
+    pub fn scale(self, factor: f64) -> Self {
+        Self((self.0 as f64 * factor) as u64)
+    }
+}
+
+impl ops::Add for Millis {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl ops::Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        self.since(rhs)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// A text that is not a number of milliseconds.
+#[derive(Debug, Snafu)]
+#[snafu(display("`{text}` is not a span: write whole milliseconds, such as `250ms` or `250`"))]
+pub struct ParseError {
+    text: String,
+}
+
+impl str::FromStr for Millis {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let digits = text.strip_suffix("ms").unwrap_or(text);
+        let Ok(value) = digits.parse() else {
+            return ParseSnafu { text }.fail();
+        };
+        Ok(Self(value))
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/gossip.rs
@@ -0,0 +1,251 @@
+//! Host to host: pushing changes down a tree, and digests that repair what the tree lost.
+
+use compact_str::CompactString;
+use rand::Rng;
+
+use crate::{catalog, clock, rendezvous, view};
+
+use super::{Core, Output, message};
+
+impl Core {
+    fn say(&mut self, to: CompactString, body: message::Body) {
+        let from = self.identity.peer.clone();
+        let message = message::Message { protocol: message::PROTOCOL, from, body };
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    fn digest(&self, sent: Option<clock::Millis>, echo: Option<clock::Millis>) -> message::Body {
+        message::Body::Digest(message::Digest {
+            stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
+            ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
+            sent,
+            echo,
+        })
+    }
+
+    /// Compares digests with a few random hosts when it is time.
+    pub(super) fn gossip(&mut self) {
+        if self.gossip_at > self.now {
+            return;
+        }
+        let jitter = self.random.random_range(0..=self.policy.gossip.0 / 4);
+        let pause = if self.view.is_some() { self.policy.gossip } else { self.policy.start_wait };
+        self.gossip_at = self.now + pause + clock::Millis(jitter);
+        self.probe();
+    }
+
+    fn probe(&mut self) {
+        let known: Vec<CompactString> = if self.peers.is_empty() {
+            self.identity.seeds.iter().filter(|seed| **seed != self.identity.peer).cloned().collect()
+        } else {
+            self.peers.keys().cloned().collect()
+        };
+        let count = (self.policy.gossip_peers as usize).min(known.len());
+        let first = if known.is_empty() { 0 } else { self.random.random_range(0..known.len()) };
+        for step in 0..count {
+            let stride = 1 + known.len() / self.policy.gossip_peers.max(1) as usize;
+            let to = known[(first + step * stride) % known.len()].clone();
+            let body = self.digest(Some(self.now), None);
+            self.say(to, body);
+        }
+    }
+
+    pub(super) fn on_revalidate(&mut self) {
+        self.revalidate_at = Some(self.now);
+        self.probe();
+    }
+
+    pub(super) fn on_message(&mut self, message: message::Message) {
+        self.stats.received += 1;
+        if message.protocol > message::PROTOCOL {
+            self.stats.unknown += 1;
+            return;
+        }
+        match message.body {
+            message::Body::Digest(digest) => self.on_digest(message.from, &digest),
+            message::Body::Ask(ask) => self.on_ask(message.from, &ask),
+            message::Body::Catalog(update) => self.on_update(message.from, update),
+        }
+    }
+
+    fn on_digest(&mut self, from: CompactString, digest: &message::Digest) {
+        for kind in catalog::Kind::ALL {
+            let shelf = &self.shelves[kind.index()];
+            let theirs = digest.stamps[kind.index()];
+            let is_news = theirs > shelf.stamp && shelf.refused != Some(theirs);
+            if is_news {
+                self.ask(from.clone(), kind);
+            }
+        }
+        if digest.sent.is_some() {
+            let body = self.digest(None, digest.sent);
+            self.say(from, body);
+        }
+        if let Some(echo) = digest.echo {
+            self.on_echo(digest, echo);
+        }
+    }
+
+    /// A reply to this host's own digest: what the peer has was confirmed `age` before `echo`.
+    fn on_echo(&mut self, digest: &message::Digest, echo: clock::Millis) {
+        for kind in catalog::Kind::ALL {
+            let Some(age) = digest.ages[kind.index()] else {
+                continue;
+            };
+            let shelf = &mut self.shelves[kind.index()];
+            if digest.stamps[kind.index()] != shelf.stamp {
+                continue;
+            }
+            let fresh_at = echo - age;
+            shelf.fresh_at = Some(shelf.fresh_at.map_or(fresh_at, |held| held.max(fresh_at)));
+        }
+        self.confirm(digest, echo);
+    }
+
+    /// After a pause, one peer that was asked since and has nothing newer is enough.
+    fn confirm(&mut self, digest: &message::Digest, echo: clock::Millis) {
+        let Some(asked) = self.revalidate_at else {
+            return;
+        };
+        let is_newer =
+            catalog::Kind::ALL.iter().any(|kind| digest.stamps[kind.index()] > self.shelves[kind.index()].stamp);
+        let is_recent = digest.ages.iter().all(|age| age.is_some_and(|age| age <= self.policy.stale));
+        if echo < asked || is_newer || !is_recent {
+            return;
+        }
+        self.revalidate_at = None;
+        self.outputs.push(Output::Revalidated);
+    }
+
+    fn ask(&mut self, to: CompactString, kind: catalog::Kind) {
+        let have = self.shelves[kind.index()].current.texts.keys().copied().collect();
+        self.say(to, message::Body::Ask(message::Ask { kind, have }));
+    }
+
+    fn on_ask(&mut self, from: CompactString, ask: &message::Ask) {
+        let shelf = &self.shelves[ask.kind.index()];
+        if shelf.current.manifest.parts.is_empty() {
+            return;
+        }
+        let mut parts = Vec::new();
+        for (key, digest) in &shelf.current.manifest.parts {
+            let text = if ask.have.contains(digest) { None } else { shelf.current.texts.get(digest).cloned() };
+            parts.push(message::Part { key: key.clone(), digest: *digest, text });
+        }
+        let version = shelf.current.manifest.version;
+        let update = message::Update { kind: ask.kind, base: None, version, removed: Vec::new(), parts };
+        self.say(from, message::Body::Catalog(update));
+    }
+
+    fn on_update(&mut self, from: CompactString, update: message::Update) {
+        let kind = update.kind;
+        let shelf = &mut self.shelves[kind.index()];
+        if update.version < shelf.stamp.version && !crate::mutant::is(crate::mutant::Mutant::AcceptOlder) {
+            return;
+        }
+        let mut manifest = match update.base {
+            None => catalog::Manifest { version: update.version, ..Default::default() },
+            Some(base) if base == shelf.stamp => shelf.current.manifest.clone(),
+            Some(_) => {
+                self.ask(from, kind);
+                return;
+            }
+        };
+        manifest.version = update.version;
+        for key in &update.removed {
+            manifest.parts.swap_remove(key);
+        }
+        let mut texts = Vec::new();
+        for part in update.parts {
+            if let Some(text) = part.text
+                && catalog::Digest::of(&text) == part.digest
+            {
+                texts.push((part.digest, text));
+            }
+            manifest.parts.insert(part.key, part.digest);
+        }
+        manifest.parts.sort_unstable_keys();
+        let stamp = manifest.stamp();
+        let is_older = stamp <= shelf.stamp && !crate::mutant::is(crate::mutant::Mutant::AcceptOlder);
+        if is_older || shelf.refused == Some(stamp) {
+            return;
+        }
+        shelf.current.texts.extend(texts);
+        if !shelf.current.lacks(&manifest).is_empty() {
+            self.ask(from, kind);
+            return;
+        }
+        shelf.pending = Some(manifest);
+        self.try_adopt(kind);
+    }
+
+    /// Sends what changed to this host's children in the tree of its data centre, and, from the
+    /// root, to the roots of the other data centres.
+    pub(super) fn push(&mut self, kind: catalog::Kind, before: &catalog::Manifest, base: view::Stamp) {
+        let shelf = &self.shelves[kind.index()];
+        let update = difference(kind, before, base, &shelf.current);
+        for to in self.children() {
+            self.say(to, message::Body::Catalog(update.clone()));
+        }
+    }
+
+    fn children(&self) -> Vec<CompactString> {
+        let Some(place) = self.ranked.iter().position(|name| *name == self.identity.name) else {
+            return Vec::new();
+        };
+        let fanout = self.policy.fanout as usize;
+        let mut names: Vec<CompactString> = self.ranked.iter().skip(place * fanout + 1).take(fanout).cloned().collect();
+        if place == 0 {
+            names.extend(self.other_roots());
+        }
+        let mut addresses = Vec::new();
+        for (address, host) in &self.peers {
+            if names.contains(&host.name) {
+                addresses.push(address.clone());
+            }
+        }
+        addresses
+    }
+
+    /// The first host by rank of each other data centre.
+    fn other_roots(&self) -> Vec<CompactString> {
+        let mut centres: Vec<&CompactString> = self.peers.values().map(|host| &host.data_centre).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        let mut roots = Vec::new();
+        for centre in centres {
+            if *centre == self.identity.data_centre {
+                continue;
+            }
+            let is_there =
+                |host: &&crate::plan::EntryHost| host.data_centre == *centre && host.state == crate::plan::State::Live;
+            let mut names: Vec<CompactString> =
+                self.peers.values().filter(is_there).map(|host| host.name.clone()).collect();
+            rendezvous::rank(centre, &mut names);
+            roots.extend(names.into_iter().next());
+        }
+        roots
+    }
+}
+
+fn difference(
+    kind: catalog::Kind,
+    before: &catalog::Manifest,
+    base: view::Stamp,
+    current: &catalog::Catalog,
+) -> message::Update {
+    let mut parts = Vec::new();
+    for (key, digest) in &current.manifest.parts {
+        if before.parts.get(key) == Some(digest) {
+            continue;
+        }
+        parts.push(message::Part { key: key.clone(), digest: *digest, text: current.texts.get(digest).cloned() });
+    }
+    let mut removed = Vec::new();
+    for key in before.parts.keys() {
+        if !current.manifest.parts.contains_key(key) {
+            removed.push(key.clone());
+        }
+    }
+    message::Update { kind, base: Some(base), version: current.manifest.version, removed, parts }
+}
--- /dev/null
+++ b/crates/core/src/control/message.rs
@@ -0,0 +1,92 @@
+//! What hosts say to each other.
+//!
+//! Every message is state that can be sent again: a lost, doubled or late one does no harm, because
+//! a receiver only ever moves to a higher stamp. There is no stream of changes that must all
+//! arrive.
+//!
+//! Old and new nodes live side by side during a rolling restart: fields are sent by name, new ones
+//! have a default, and a message whose protocol is newer than [`PROTOCOL`] or whose body is unknown
+//! is dropped and counted; the sender's digests go on in the body that both know.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{catalog, clock, view};
+
+/// Raised when a message can no longer be understood by older nodes.
+pub const PROTOCOL: u16 = 1;
+
+/// A message between two hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender's [`PROTOCOL`].
+    pub protocol: u16,
+    /// `IP:PORT` at which the sender listens for messages.
+    pub from: CompactString,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    /// What the sender has.
+    Digest(Digest),
+    /// Send me what I lack of a catalog.
+    Ask(Ask),
+    /// Parts of a catalog.
+    Catalog(Update),
+}
+
+/// What a host has, and how long ago the platform confirmed it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Digest {
+    /// Stamps of the two catalogs, by [`catalog::Kind::index`].
+    pub stamps: [view::Stamp; 2],
+    /// Time since the platform was last known to have nothing newer.
+    pub ages: [Option<clock::Millis>; 2],
+    /// The sender's clock, to be echoed; absent in an echo.
+    pub sent: Option<clock::Millis>,
+    /// The receiver's own clock from the digest that this one replies to. Ages are counted from it
+    /// and never from arrival: a reply may have lain in a buffer while the receiver was stopped.
+    pub echo: Option<clock::Millis>,
+}
+
+/// A request for a catalog.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Which catalog.
+    pub kind: catalog::Kind,
+    /// Digests of the parts that the sender has.
+    pub have: Vec<catalog::Digest>,
+}
+
+/// A manifest, or its difference to another, with texts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// Which catalog.
+    pub kind: catalog::Kind,
+    /// If given, `parts` and `removed` are the difference to the manifest of this stamp.
+    pub base: Option<view::Stamp>,
+    /// The new manifest's version.
+    pub version: u64,
+    /// Keys that the new manifest does not have any more.
+    pub removed: Vec<CompactString>,
+    /// Parts of the new manifest.
+    pub parts: Vec<Part>,
+}
+
+/// A part on its way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// The platform's key.
+    pub key: CompactString,
+    /// Digest of the text.
+    pub digest: catalog::Digest,
+    /// The text, unless the receiver has it.
+    pub text: Option<Arc<str>>,
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,61 @@
+//! Identifiers of entities.
+//!
+//! A [`Server`] is an index that stays the same for the life of the process, so that connection
+//! counts and latencies survive a change of view. A [`Query`] and an [`Attempt`] are indexes into a
+//! [`crate::table::Table`] with a generation, so a late message for a dead entity misses.
+
+use std::{fmt, str};
+
+use serde::{Deserialize, Serialize};
+
+use crate::table;
+
+/// A backend server, by its place in the process-wide registry of [`crate::view::Registry`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Server(pub u32);
+
+impl Server {
+    /// The index into tables of servers.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl fmt::Display for Server {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "server-{}", self.0)
+    }
+}
+
+impl str::FromStr for Server {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.strip_prefix("server-").unwrap_or(text).parse().map(Self)
+    }
+}
+
+/// A query in flight in one traffic core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Query(pub table::Key);
+
+/// One try of a query at one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt(pub table::Key);
+
+impl fmt::Display for Query {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "q{}", self.0)
+    }
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a{}", self.0)
+    }
+}
+
+/// The caller's handle for one request, chosen by the shell and unique in its traffic thread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Caller(pub u64);
--- /dev/null
+++ b/crates/core/src/traffic/event.rs
@@ -0,0 +1,264 @@
+//! What goes into a traffic core and what comes out.
+
+use std::{fmt, sync::Arc};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{clock, id, invariant, view};
+
+/// Something that happened outside.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A newer view is in force.
+    View(Arc<view::View>),
+    /// A caller asks.
+    Request(Request),
+    /// A dispatched attempt came to its end.
+    Reply {
+        /// Which attempt.
+        attempt: id::Attempt,
+        /// How it ended.
+        reply: Reply,
+    },
+    /// The caller is gone and will not read an answer.
+    HangUp(id::Caller),
+    /// Control found the view to be fresh after [`Output::Revalidate`].
+    Revalidated,
+    /// Only time passed.
+    Tick,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The shell's handle for the answer.
+    pub caller: id::Caller,
+    /// Name of the selector.
+    pub class: CompactString,
+    /// Time that the caller still gives, in ms from now; `None` takes the selector's.
+    pub patience: Option<clock::Millis>,
+    /// The request key. Requests that are not idempotent and share a key run at most once.
+    pub key: Option<CompactString>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The server ran it and its whole answer is here.
+    Answered(Part),
+    /// The server refused it before running it.
+    Refused {
+        /// When the server wants to be asked again, from now.
+        retry_after: Option<clock::Millis>,
+    },
+    /// The server knows its key: the request runs or ran before, perhaps through another host.
+    Duplicate,
+    /// Proof that no byte of it reached the server.
+    NotSent,
+    /// It may or may not have run: the connection broke, or the answer was not usable.
+    Lost,
+}
+
+/// One shard's answer, without its body, which stays in the shell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The snapshot from which it was computed.
+    pub snapshot: view::Snapshot,
+    /// Another snapshot that the server still holds.
+    pub held: Option<view::Snapshot>,
+    /// Number of hits.
+    pub hits: u32,
+    /// Queue length that the server reports.
+    pub load: Option<u32>,
+}
+
+/// Something for the shell to do, in order.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send an attempt to a server.
+    Dispatch(Dispatch),
+    /// Give an attempt up and close its connection; a later reply misses.
+    Cancel {
+        /// Which attempt.
+        attempt: id::Attempt,
+    },
+    /// Send a caller its only answer.
+    Answer(Answer),
+    /// Keep at most this many connections to a server.
+    Trim {
+        /// Which server.
+        server: id::Server,
+        /// Connections to keep, idle ones and those in use.
+        keep: u32,
+    },
+    /// Ask control whether the view still stands.
+    Revalidate,
+    /// Log and count a promise that did not hold.
+    Breach(invariant::Breach),
+}
+
+/// An attempt to send.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// Its id.
+    pub attempt: id::Attempt,
+    /// The query that it belongs to.
+    pub query: id::Query,
+    /// The caller whose request body goes with it.
+    pub caller: id::Caller,
+    /// Where it goes.
+    pub server: id::Server,
+    /// That server's address, `IP:PORT`.
+    pub address: CompactString,
+    /// The shard to ask.
+    pub shard: CompactString,
+    /// The request key, for the server to refuse a duplicate.
+    pub key: Option<CompactString>,
+    /// The instant after which the answer is of no use; the server must not begin later.
+    pub deadline: clock::Millis,
+    /// Partition epoch in which the shard's name is meant.
+    pub epoch: u64,
+    /// The snapshot to answer from, if the server still holds it.
+    pub want: Option<view::Snapshot>,
+}
+
+/// What is known of a request's fate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// It ran, and the answer is here.
+    Answered,
+    /// It was not run on any shard.
+    NotRun,
+    /// It may have run on some shards.
+    Unknown,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// Why a request ended as it did; the stable code in answers, logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// Every shard contributed, or enough hits were found.
+    Ok,
+    /// The least coverage was met; some shards are missing.
+    Partial,
+    /// No selector has this name.
+    UnknownClass,
+    /// The request gives no time at all.
+    DeadlinePassed,
+    /// Too many shards have no server that takes new work.
+    NoReplica,
+    /// The class is at its limit, and waiting would not help in time.
+    Overloaded,
+    /// Its deadline passed while it waited to run.
+    Expired,
+    /// Fewer shards than the least coverage answered.
+    InsufficientCoverage,
+    /// The shards were cut anew while it ran.
+    Repartitioned,
+    /// The process woke from a pause and has not yet confirmed its view.
+    Revalidating,
+    /// A request with this key is running or ran.
+    DuplicateKey,
+    /// Its only attempt came to an unknown end.
+    AttemptLost,
+    /// The caller hung up.
+    CallerGone,
+    /// A promise would have been broken; the answer was withheld.
+    Withheld,
+}
+
+impl Code {
+    /// The code as in answers and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::Partial => "partial",
+            Self::UnknownClass => "unknown_class",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::NoReplica => "no_replica",
+            Self::Overloaded => "overloaded",
+            Self::Expired => "expired",
+            Self::InsufficientCoverage => "insufficient_coverage",
+            Self::Repartitioned => "repartitioned",
+            Self::Revalidating => "revalidating",
+            Self::DuplicateKey => "duplicate_key",
+            Self::AttemptLost => "attempt_lost",
+            Self::CallerGone => "caller_gone",
+            Self::Withheld => "withheld",
+        }
+    }
+
+    /// One sentence for a person.
+    pub fn sentence(self) -> &'static str {
+        match self {
+            Self::Ok => "The answer is complete.",
+            Self::Partial => "The answer lacks the shards listed as missing.",
+            Self::UnknownClass => "No selector has this name; `shallotctl explain` lists them.",
+            Self::DeadlinePassed => "The request's deadline is in the past; send one in the future.",
+            Self::NoReplica => "Too many shards have no server that takes new work.",
+            Self::Overloaded => "This kind of request is at its limit; come back later.",
+            Self::Expired => "The deadline would have passed before the request could run.",
+            Self::InsufficientCoverage => "Fewer shards answered than this kind of request needs.",
+            Self::Repartitioned => "The shards were cut anew while the request ran; ask again.",
+            Self::Revalidating => "This host woke from a pause and is checking its view; ask again.",
+            Self::DuplicateKey => "A request with this key is running or ran; it was not run again.",
+            Self::AttemptLost => "The only attempt came to an unknown end; it was not sent again.",
+            Self::CallerGone => "The caller hung up.",
+            Self::Withheld => "The answer would have broken a promise and was withheld.",
+        }
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// The only answer to a request.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Whose it is.
+    pub caller: id::Caller,
+    /// The query, if it came to one.
+    pub query: Option<id::Query>,
+    /// The class, as the caller named it.
+    pub class: CompactString,
+    /// Its fate.
+    pub outcome: Outcome,
+    /// Why.
+    pub code: Code,
+    /// The one snapshot of all parts; `None` unless answered.
+    pub snapshot: Option<view::Snapshot>,
+    /// The shards in the answer, each with the attempt whose body is its part.
+    pub contributed: Vec<(CompactString, id::Attempt)>,
+    /// The shards that did not contribute.
+    pub missing: Vec<CompactString>,
+    /// When to come back, from now; set on every refusal that may pass.
+    pub retry_after: Option<clock::Millis>,
+    /// What it cost.
+    pub cost: Cost,
+}
+
+/// The attempts made for one query.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cost {
+    /// First attempts, one for each shard.
+    pub first: u32,
+    /// Second replicas asked while the first was silent.
+    pub hedges: u32,
+    /// Attempts after a failure or for another snapshot.
+    pub retries: u32,
+}
--- /dev/null
+++ b/crates/core/src/traffic/gather.rs
@@ -0,0 +1,501 @@
+//! Gathering: replies become one answer of one snapshot with its true coverage.
+
+use std::sync::Arc;
+
+use crate::{clock, id, invariant, mutant, view};
+
+use super::{event, query, server, summary};
+
+/// Most times that a query begins anew because the shards were cut anew.
+const RESTARTS: u8 = 2;
+/// When to come back after an answer that lacked shards.
+const COME_BACK: clock::Millis = clock::Millis(250);
+
+impl super::Core {
+    pub(super) fn on_reply(&mut self, attempt: id::Attempt, reply: event::Reply) {
+        // A reply of an attempt that was given up, or of another life of the row, misses here.
+        let Some(row) = self.attempts.remove(attempt.0) else {
+            self.stats.late += 1;
+            return;
+        };
+        if let Some(query) = self.queries.get_mut(row.query.0) {
+            query.parts[row.part as usize].remove_live(attempt);
+        }
+        match reply {
+            event::Reply::Answered(part) => self.on_part(attempt, row, part),
+            event::Reply::Refused { retry_after } => self.on_refused(row, retry_after),
+            event::Reply::Duplicate => self.on_duplicate(row),
+            event::Reply::NotSent => self.on_not_sent(row),
+            event::Reply::Lost => self.on_lost(row),
+        }
+    }
+
+    fn on_part(&mut self, attempt: id::Attempt, row: query::Attempt, part: event::Part) {
+        let took = self.now.since(row.sent);
+        let was_out = self.servers[row.server.index()].is_ejected(self.now);
+        let state = &mut self.servers[row.server.index()];
+        state.on_answer(self.now, took, part.load);
+        state.holds = [Some(part.snapshot), part.held];
+        self.ejected = self.ejected.saturating_sub(usize::from(was_out));
+        self.release(row.server);
+        let Some(query) = self.queries.get_mut(row.query.0) else {
+            return;
+        };
+        query.may_have_run = true;
+        let class = query.class;
+        self.classes[class].attempts.record(took);
+        let epoch = query.selector().epoch;
+        if part.snapshot.epoch != epoch {
+            query.saw_epoch = Some(part.snapshot.epoch);
+            self.on_other_epoch(row.query, row.part);
+            return;
+        }
+        let got = query::Got { snapshot: part.snapshot, attempt, hits: part.hits };
+        query.file(row.part as usize, got);
+        let is_mixed = query.groups.len() > 1;
+        if is_mixed {
+            self.note_rolling(class);
+        }
+        self.cancel_siblings(row.query, row.part, part.snapshot);
+        self.settle(row.query);
+    }
+
+    /// Gives up the other live attempts of a shard that has its reply.
+    fn cancel_siblings(&mut self, query: id::Query, part: u32, snapshot: view::Snapshot) {
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        if row.want.is_some_and(|want| want != snapshot) {
+            return;
+        }
+        let live = std::mem::take(&mut row.parts[part as usize].live);
+        for attempt in live.into_iter().flatten() {
+            self.cancel(attempt);
+        }
+    }
+
+    fn cancel(&mut self, attempt: id::Attempt) {
+        let Some(row) = self.attempts.remove(attempt.0) else {
+            return;
+        };
+        let took = self.now.since(row.sent);
+        self.servers[row.server.index()].on_silence(took);
+        self.outputs.push(event::Output::Cancel { attempt });
+        self.release(row.server);
+    }
+
+    fn on_refused(&mut self, row: query::Attempt, retry_after: Option<clock::Millis>) {
+        self.stats.refused += 1;
+        self.servers[row.server.index()].on_shed(self.now, retry_after);
+        self.release(row.server);
+        self.retry(row.query, row.part, true, false);
+    }
+
+    /// This attempt did not run, but one with its key did, so the request is not "not run".
+    fn on_duplicate(&mut self, row: query::Attempt) {
+        if let Some(query) = self.queries.get_mut(row.query.0) {
+            query.may_have_run = true;
+        }
+        self.release(row.server);
+        self.finish_unanswered(row.query, event::Code::DuplicateKey, None);
+    }
+
+    fn on_not_sent(&mut self, row: query::Attempt) {
+        self.stats.not_sent += 1;
+        self.refund(row);
+        self.note_failure(row.server);
+        self.release(row.server);
+        self.retry(row.query, row.part, true, true);
+    }
+
+    /// The attempt never reached a server, so it was no load.
+    fn refund(&mut self, row: query::Attempt) {
+        let Some(query) = self.queries.get(row.query.0) else {
+            return;
+        };
+        if row.kind == query::Kind::Hedge {
+            let class = query.class;
+            self.classes[class].hedges.refund();
+        }
+    }
+
+    fn on_lost(&mut self, row: query::Attempt) {
+        self.stats.lost += 1;
+        if let Some(query) = self.queries.get_mut(row.query.0) {
+            query.may_have_run = true;
+        }
+        self.note_failure(row.server);
+        self.release(row.server);
+        self.retry(row.query, row.part, false, false);
+    }
+
+    fn note_failure(&mut self, server: id::Server) {
+        let must_go = self.servers[server.index()].on_failure(&self.policy);
+        let is_out = self.servers[server.index()].is_ejected(self.now);
+        if !must_go || is_out {
+            return;
+        }
+        self.ejected = self.servers.iter().filter(|state| state.is_ejected(self.now)).count();
+        let total = self.view.servers.iter().flatten().count();
+        if !server::may_eject(self.ejected, total, self.policy.ejection_ceiling) {
+            return;
+        }
+        self.servers[server.index()].eject(self.now, self.policy.ejection_base);
+        self.ejected += 1;
+        self.stats.ejections += 1;
+        self.requeue(server);
+    }
+
+    /// The server cut its data anew. Shards of two epochs are never put together: the query begins
+    /// again if the new cut is already in force here, and fails otherwise.
+    fn on_other_epoch(&mut self, query: id::Query, part: u32) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let selector = row.selector();
+        let seen = row.saw_epoch.unwrap_or_default();
+        let is_in_force =
+            self.view.classes.get(&selector.name).is_some_and(|class| class.epoch == seen && seen > selector.epoch);
+        if is_in_force && selector.idempotent && row.restarts < RESTARTS {
+            self.restart(query);
+            return;
+        }
+        if !selector.idempotent {
+            self.finish_unanswered(query, event::Code::Repartitioned, Some(COME_BACK));
+            return;
+        }
+        self.retry(query, part, false, false);
+    }
+
+    fn restart(&mut self, query: id::Query) {
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        row.restarts += 1;
+        row.may_have_run = true;
+        let class = row.class;
+        let parts = std::mem::take(&mut row.parts);
+        self.stats.restarts += 1;
+        for attempt in parts.iter().flat_map(|part| part.live).flatten() {
+            self.cancel(attempt);
+        }
+        for _ in 0..parts.len() {
+            if !self.spend_retry(class) {
+                self.finish_unanswered(query, event::Code::Repartitioned, Some(COME_BACK));
+                return;
+            }
+        }
+        self.begin(query);
+    }
+
+    /// A shard is given up. The query ends at once when the rest cannot meet the least coverage.
+    pub(super) fn fail_part(&mut self, query: id::Query, part: u32) {
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        let state = &mut row.parts[part as usize];
+        state.is_waiting = false;
+        if state.is_failed || state.has_reply() {
+            self.settle(query);
+            return;
+        }
+        state.is_failed = true;
+        row.failed += 1;
+        let total = row.parts.len();
+        let reachable = total - row.failed;
+        if !row.selector().least_coverage.is_met(reachable, total) {
+            let code = self.shortfall(query);
+            self.finish_unanswered(query, code, Some(COME_BACK));
+            return;
+        }
+        self.settle(query);
+    }
+
+    fn shortfall(&self, query: id::Query) -> event::Code {
+        let saw_epoch = self.queries.get(query.0).is_some_and(|row| row.saw_epoch.is_some());
+        if saw_epoch { event::Code::Repartitioned } else { event::Code::InsufficientCoverage }
+    }
+
+    /// Looks whether the query can be answered now, and asks again where snapshots differ.
+    pub(super) fn settle(&mut self, query: id::Query) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let Some(started) = row.started else {
+            return;
+        };
+        let selector = row.selector();
+        let total = row.parts.len();
+        let best = row.best();
+        let shards = best.map_or(0, |group| group.shards);
+        let is_enough = shards > 0 && selector.least_coverage.is_met(shards, total);
+        let has_hits = best.zip(selector.enough_hits).is_some_and(|(group, enough)| group.hits >= enough);
+        let is_time = selector.settle.is_some_and(|settle| self.now >= started + settle);
+        if total > 0 && shards == total {
+            self.finish_answered(query);
+            return;
+        }
+        if is_enough && (has_hits || is_time) {
+            self.finish_answered(query);
+            return;
+        }
+        if row.groups.len() > 1 && self.policy.reask {
+            self.reask(query);
+        }
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        if row.is_pending() {
+            return;
+        }
+        if is_enough {
+            self.finish_answered(query);
+            return;
+        }
+        let code = self.shortfall(query);
+        self.finish_unanswered(query, code, Some(COME_BACK));
+    }
+
+    /// Replies are of several snapshots: takes the snapshot that can reach most shards, and asks
+    /// just the shards that answered from another one again, at a replica that holds it.
+    fn reask(&mut self, query: id::Query) {
+        let Some(target) = self.best_reachable(query) else {
+            return;
+        };
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        if row.want != Some(target) {
+            row.want = Some(target);
+            self.stats.mixed += 1;
+        }
+        let class = row.class;
+        for part in 0..row.parts.len() as u32 {
+            let Some(server) = self.reask_server(query, part, target) else {
+                continue;
+            };
+            if !self.servers[server.index()].has_room(self.now) {
+                continue;
+            }
+            if !self.spend_retry(class) {
+                return;
+            }
+            self.send(query, part, server, query::Kind::Retry);
+        }
+    }
+
+    /// A replica that holds `target`, if the shard answered from another snapshot and is not being
+    /// asked.
+    fn reask_server(&self, query: id::Query, part: u32, target: view::Snapshot) -> Option<id::Server> {
+        let row = self.queries.get(query.0)?;
+        let state = row.parts[part as usize];
+        if !state.has_reply() || state.of(target).is_some() || state.is_pending() {
+            return None;
+        }
+        if state.tries >= self.policy.attempts_per_shard {
+            return None;
+        }
+        self.holder(row, part, target)
+    }
+
+    fn holder(&self, row: &query::Query, part: u32, target: view::Snapshot) -> Option<id::Server> {
+        let replicas = &row.selector().targets[part as usize].replicas;
+        let mut holders = replicas.iter().copied().filter(|&id| {
+            self.view.is_open(id)
+                && self.servers[id.index()].holds(target)
+                && !self.servers[id.index()].is_ejected(self.now)
+        });
+        holders.next()
+    }
+
+    /// The snapshot that most shards gave or can still give; the newest of equals.
+    fn best_reachable(&self, query: id::Query) -> Option<view::Snapshot> {
+        let row = self.queries.get(query.0)?;
+        let mut best: Option<(usize, usize, view::Snapshot)> = None;
+        for group in &row.groups {
+            let mut reach = group.shards;
+            for (part, state) in row.parts.iter().enumerate() {
+                if state.of(group.snapshot).is_some() {
+                    continue;
+                }
+                let may_come = state.is_pending() || self.holder(row, part as u32, group.snapshot).is_some();
+                reach += usize::from(may_come);
+            }
+            let candidate = (reach, group.shards, group.snapshot);
+            if best.is_none_or(|held| candidate > held) {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(.., snapshot)| snapshot)
+    }
+
+    pub(super) fn on_deadline(&mut self, query: id::Query) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        if row.started.is_none() {
+            let retry_after = self.classes[row.class].retry_after();
+            self.finish_unanswered(query, event::Code::Expired, Some(retry_after));
+            return;
+        }
+        let shards = row.best().map_or(0, |group| group.shards);
+        if shards > 0 && row.selector().least_coverage.is_met(shards, row.parts.len()) {
+            self.finish_answered(query);
+            return;
+        }
+        let code = self.shortfall(query);
+        let retry_after = self.classes[row.class].retry_after();
+        self.finish_unanswered(query, code, Some(retry_after.max(COME_BACK)));
+    }
+
+    fn finish_answered(&mut self, query: id::Query) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let Some(best) = row.best() else {
+            return;
+        };
+        let mut contributed = Vec::with_capacity(best.shards);
+        let mut missing = Vec::new();
+        let mut is_one_snapshot = true;
+        for (part, target) in row.parts.iter().zip(&row.selector().targets) {
+            let got = if mutant::is(mutant::Mutant::MixSnapshots) { part.got[0] } else { part.of(best.snapshot) };
+            let Some(got) = got else {
+                missing.push(target.shard.clone());
+                continue;
+            };
+            is_one_snapshot &= got.snapshot == best.snapshot;
+            contributed.push((target.shard.clone(), got.attempt));
+        }
+        if mutant::is(mutant::Mutant::CountSilent) {
+            missing.clear();
+        }
+        if !is_one_snapshot {
+            self.breach(invariant::Name::OneSnapshot, format!("{query}: not all of {}", best.snapshot));
+        }
+        let is_true = contributed.len() + missing.len() == self.queries.get(query.0).map_or(0, |row| row.parts.len());
+        if !is_true {
+            let detail = format!("{query}: {} in, {} missing", contributed.len(), missing.len());
+            self.breach(invariant::Name::TrueCoverage, detail);
+        }
+        let code = if missing.is_empty() { event::Code::Ok } else { event::Code::Partial };
+        self.end(query, event::Outcome::Answered, code, None, Some(best.snapshot), contributed, missing);
+    }
+
+    /// Ends a query without an answer. It counts as not run only if nothing was dispatched, or each
+    /// attempt was proved not to have run.
+    pub(super) fn finish_unanswered(
+        &mut self,
+        query: id::Query,
+        code: event::Code,
+        retry_after: Option<clock::Millis>,
+    ) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let is_live = row.parts.iter().any(|part| part.live_count() > 0);
+        let may_have_run = row.may_have_run || is_live;
+        let is_not_run = !may_have_run || mutant::is(mutant::Mutant::AssumeNotRun);
+        let outcome = if is_not_run { event::Outcome::NotRun } else { event::Outcome::Unknown };
+        let missing = row.selector().targets.iter().map(|target| target.shard.clone()).collect();
+        self.end(query, outcome, code, retry_after, None, Vec::new(), missing);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the one place where an answer is put together")]
+    fn end(
+        &mut self,
+        query: id::Query,
+        outcome: event::Outcome,
+        code: event::Code,
+        retry_after: Option<clock::Millis>,
+        snapshot: Option<view::Snapshot>,
+        contributed: Vec<(compact_str::CompactString, id::Attempt)>,
+        missing: Vec<compact_str::CompactString>,
+    ) {
+        let Some(row) = self.queries.remove(query.0) else {
+            return;
+        };
+        if self.callers.swap_remove(&row.caller) != Some(query) {
+            self.breach(invariant::Name::OwnWholeAnswer, format!("{query}: {:?} has no such query", row.caller));
+        }
+        for attempt in row.parts.iter().flat_map(|part| part.live).flatten() {
+            self.cancel(attempt);
+        }
+        self.remember_key(&row, outcome);
+        self.end_run(&row, outcome);
+        self.summarise(query, &row, outcome, code, &missing);
+        self.outputs.push(event::Output::Answer(event::Answer {
+            caller: row.caller,
+            query: Some(query),
+            class: self.classes[row.class].name.clone(),
+            outcome,
+            code,
+            snapshot,
+            contributed,
+            missing,
+            retry_after,
+            cost: row.cost,
+        }));
+    }
+
+    fn remember_key(&mut self, row: &query::Query, outcome: event::Outcome) {
+        let Some(key) = &row.key else {
+            return;
+        };
+        if row.selector().idempotent {
+            return;
+        }
+        let until = self.now + self.policy.key_window;
+        self.keys.end(key, (outcome != event::Outcome::NotRun).then_some(until));
+    }
+
+    fn end_run(&mut self, row: &query::Query, outcome: event::Outcome) {
+        let Some(started) = row.started else {
+            return;
+        };
+        let took = self.now.since(started);
+        let selector = row.selector();
+        let usual = selector.settle.unwrap_or(selector.deadline);
+        let target = usual.scale(self.policy.latency_target.get());
+        let is_good = outcome == event::Outcome::Answered && took <= target;
+        let class = &mut self.classes[row.class];
+        class.running = class.running.saturating_sub(1);
+        class.on_end(self.now, took, is_good, self.policy.running_ceiling);
+    }
+
+    fn summarise(
+        &mut self,
+        query: id::Query,
+        row: &query::Query,
+        outcome: event::Outcome,
+        code: event::Code,
+        missing: &[compact_str::CompactString],
+    ) {
+        let mut tried = Vec::new();
+        for (part, target) in row.parts.iter().zip(&row.selector().targets) {
+            if !missing.contains(&target.shard) {
+                continue;
+            }
+            let names = part.tried.iter().flatten().filter_map(|&id| row.view.server(id));
+            tried.push((target.shard.clone(), names.map(|server| server.name.clone()).collect()));
+        }
+        let arrived = row.started.unwrap_or(self.now);
+        self.recent.push(summary::Summary {
+            query,
+            class: self.classes[row.class].name.clone(),
+            outcome,
+            code,
+            took: self.now.since(arrived),
+            cost: row.cost,
+            missing: tried,
+        });
+    }
+
+    /// The views that queries in flight still pin, for the tests of memory.
+    pub fn pinned_views(&self) -> usize {
+        let mut views: Vec<*const view::View> = self.queries.iter().map(|(_, row)| Arc::as_ptr(&row.view)).collect();
+        views.sort_unstable();
+        views.dedup();
+        views.len()
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/mod.rs
@@ -0,0 +1,239 @@
+//! The traffic core: from a caller's request to its one answer.
+//!
+//! [`Core::step`] takes a batch of inputs and runs the systems over the tables in one fixed order:
+//! pause guard, timers, inputs, admission. Outputs are collected in the order in which the shell
+//! must carry them out. One core serves one traffic thread and shares nothing with another.
+//!
+//! The systems stand in modules of their own: [`admit`] (limits and refusals), [`dispatch`]
+//! (replica choice, queues at servers, hedges, retries) and [`gather`] (snapshots, coverage,
+//! answers).
+
+mod admit;
+mod class;
+mod dispatch;
+pub mod event;
+mod gather;
+mod key;
+pub mod policy;
+mod query;
+mod server;
+pub mod summary;
+mod timer;
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use rand::{SeedableRng, rngs};
+
+use crate::{clock, id, invariant, mutant, table, view};
+
+use event::{Input, Output};
+use timer::Timer;
+
+/// Which of a host's traffic cores this is; the host's share of connections is cut among them.
+#[derive(Clone, Copy, Debug)]
+pub struct Lane {
+    /// From zero.
+    pub index: u32,
+    /// Traffic cores on this host.
+    pub count: u32,
+}
+
+impl Lane {
+    /// This lane's part of a host's `share` of the connections to `server`. The remainder moves
+    /// with the server's index, so that no lane is always the one left without.
+    fn part(self, share: u32, server: id::Server) -> u32 {
+        let count = self.count.max(1);
+        let place = (self.index + server.0) % count;
+        share / count + u32::from(place < share % count)
+    }
+}
+
+/// The decisions of one traffic thread.
+#[derive(Debug)]
+pub struct Core {
+    policy: policy::Policy,
+    lane: Lane,
+    now: clock::Millis,
+    random: rngs::SmallRng,
+    view: Arc<view::View>,
+    servers: Vec<server::Server>,
+    classes: IndexMap<CompactString, class::Class>,
+    queries: table::Table<query::Query>,
+    callers: IndexMap<id::Caller, id::Query>,
+    attempts: table::Table<query::Attempt>,
+    timers: timer::Heap,
+    keys: key::Memory,
+    ejected: usize,
+    /// Set from a pause until control confirmed the view.
+    paused_at: Option<clock::Millis>,
+    held: Vec<id::Query>,
+    outputs: Vec<Output>,
+    stats: summary::Stats,
+    recent: summary::Ring,
+}
+
+impl Core {
+    /// A core with an empty view, at the instant `now`.
+    pub fn new(policy: policy::Policy, lane: Lane, seed: u64, now: clock::Millis) -> Self {
+        Self {
+            policy,
+            lane,
+            now,
+            random: rngs::SmallRng::seed_from_u64(seed),
+            view: Arc::default(),
+            servers: Vec::new(),
+            classes: IndexMap::new(),
+            queries: table::Table::default(),
+            callers: IndexMap::new(),
+            attempts: table::Table::default(),
+            timers: timer::Heap::default(),
+            keys: key::Memory::default(),
+            ejected: 0,
+            paused_at: None,
+            held: Vec::new(),
+            outputs: Vec::new(),
+            stats: summary::Stats::default(),
+            recent: summary::Ring::default(),
+        }
+    }
+
+    /// Runs the systems once. `now` must not be earlier than in the step before.
+    pub fn step(&mut self, now: clock::Millis, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
+        self.guard_pause(now);
+        self.now = now.max(self.now);
+        self.run_timers();
+        for input in inputs {
+            self.take(input);
+        }
+        self.admit_waiting();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// When the core must be stepped again at the latest, if nothing else happens.
+    pub fn next_timer(&self) -> Option<clock::Millis> {
+        self.timers.next()
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> &Arc<view::View> {
+        &self.view
+    }
+
+    /// Counters since the start.
+    pub fn stats(&self) -> summary::Stats {
+        summary::Stats {
+            queries: self.queries.len(),
+            attempts: self.attempts.len(),
+            keys: self.keys.len(),
+            timers: self.timers.len(),
+            ejected: self.ejected,
+            ..self.stats
+        }
+    }
+
+    /// The summary of a query that ended lately, by id.
+    pub fn summary(&self, query: id::Query) -> Option<&summary::Summary> {
+        self.recent.find(query)
+    }
+
+    /// Queries that run at once and the limit on them, by class.
+    pub fn admission(&self) -> impl Iterator<Item = (&str, u32, u32, usize)> {
+        self.classes.values().map(|row| (row.name.as_str(), row.running, row.limit(), row.queue.len()))
+    }
+
+    /// A gap between steps means that the process was stopped. What expired meanwhile is answered
+    /// as not run by the timers, which run before any input; and nothing is dispatched on the old
+    /// view until control confirmed it or the grace is over.
+    fn guard_pause(&mut self, now: clock::Millis) {
+        if now.since(self.now) < self.policy.pause || mutant::is(mutant::Mutant::IgnorePause) {
+            return;
+        }
+        if self.view.stamp == view::Stamp::default() {
+            return;
+        }
+        self.stats.pauses += 1;
+        self.paused_at = Some(now);
+        self.timers.push(now + self.policy.revalidate_grace, Timer::Resume);
+        self.outputs.push(Output::Revalidate);
+    }
+
+    fn run_timers(&mut self) {
+        while let Some(timer) = self.timers.pop(self.now) {
+            match timer {
+                Timer::Deadline(query) => self.on_deadline(query),
+                Timer::Settle(query) => self.settle(query),
+                Timer::Hedge(query) => self.hedge(query),
+                Timer::Retry(query, part) => self.on_backoff_end(query, part),
+                Timer::Pump(server) => self.pump(server),
+                Timer::Resume => self.resume_repeatable(),
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::View(view) => self.on_view(view),
+            Input::Request(request) => self.on_request(request),
+            Input::Reply { attempt, reply } => self.on_reply(attempt, reply),
+            Input::HangUp(caller) => self.on_hang_up(caller),
+            Input::Revalidated => self.on_revalidated(),
+            Input::Tick => {}
+        }
+    }
+
+    fn on_view(&mut self, view: Arc<view::View>) {
+        let is_older = (view.stamp, view.hosts_revision) < (self.view.stamp, self.view.hosts_revision);
+        if is_older {
+            let detail = format!("view {} after {}", view.stamp, self.view.stamp);
+            self.breach(invariant::Name::ConfigMonotonic, detail);
+            return;
+        }
+        self.view = view;
+        self.servers.resize_with(self.view.servers.len().max(self.servers.len()), Default::default);
+        for index in 0..self.servers.len() {
+            self.refresh_server(id::Server(index as u32));
+        }
+    }
+
+    fn refresh_server(&mut self, id: id::Server) {
+        let row = &mut self.servers[id.index()];
+        let Some(published) = self.view.server(id) else {
+            row.share = 0;
+            self.outputs.push(Output::Trim { server: id, keep: 0 });
+            self.requeue(id);
+            return;
+        };
+        let share = self.lane.part(published.share(self.view.hosts), id);
+        let is_smaller = share < row.share;
+        row.share = share;
+        if row.incarnation != published.incarnation {
+            row.restart(published.incarnation);
+        }
+        if is_smaller {
+            self.outputs.push(Output::Trim { server: id, keep: share });
+        }
+        if published.leaving {
+            self.requeue(id);
+        }
+        self.pump(id);
+    }
+
+    fn on_hang_up(&mut self, caller: id::Caller) {
+        let Some(&query) = self.callers.get(&caller) else {
+            return;
+        };
+        self.finish_unanswered(query, event::Code::CallerGone, None);
+    }
+
+    fn on_revalidated(&mut self) {
+        self.paused_at = None;
+        self.resume_repeatable();
+    }
+
+    fn breach(&mut self, name: invariant::Name, detail: String) {
+        self.stats.breaches += 1;
+        self.outputs.push(Output::Breach(invariant::Breach { name, detail }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/policy.rs
@@ -0,0 +1,84 @@
+//! Every knob of the traffic decisions, with its default and the measurement that set it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{clock, ratio};
+
+/// Knobs of one traffic core. `docs/design/` gives the ways weighed for each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Hedges allowed for each first attempt. Default 0.04: with the retries' share it keeps the
+    /// extra load of a healthy fleet with one straggler in a hundred below 5%.
+    pub hedge_fraction: f64,
+    /// Quantile of the class's recent attempt latency after which a hedge may go out. Default 0.95.
+    pub hedge_quantile: f64,
+    /// Shortest wait before a hedge, in ms. Default 4.
+    pub hedge_floor: clock::Millis,
+    /// Retries allowed for each first attempt. Default 0.06.
+    pub retry_fraction: f64,
+    /// Extra attempts that may be spent in a burst, for hedges and for retries each. Default 64.
+    pub burst: f64,
+    /// Most attempts for one shard of one query. Default 4.
+    pub attempts_per_shard: u8,
+    /// Whether servers that keep failing are left out for a while. Default true.
+    pub ejection: bool,
+    /// First time out of use after an ejection, in ms; doubles each time. Default 1000.
+    pub ejection_base: clock::Millis,
+    /// Largest share of a service's servers that may be out at once. Default 0.5.
+    pub ejection_ceiling: ratio::Ratio,
+    /// Consecutive failures before an ejection. Default 3.
+    pub ejection_failures: u32,
+    /// Whether a replica is chosen by own evidence (two random choices); else at random.
+    pub two_choices: bool,
+    /// Weight of the load that a server reports, aged by its half-life. Default 0: it lags and
+    /// misleads, and own evidence did better (see `docs/MEASUREMENTS.md`).
+    pub reported_load_weight: f64,
+    /// Whether the number of queries that run at once adapts. Default true.
+    pub adaptive_admission: bool,
+    /// Share of the deadline that a query's run may take before admission is cut. Default 0.6.
+    pub latency_target: ratio::Ratio,
+    /// Most queries of a class that run at once in one traffic core. Default 512.
+    pub running_ceiling: u32,
+    /// Most queries of a class that wait to run. Default 256.
+    pub queue_ceiling: u32,
+    /// A gap between steps that counts as a pause of the process, in ms. Default 1000.
+    pub pause: clock::Millis,
+    /// Longest time that repeatable work is held back after a pause, in ms. Default 200.
+    pub revalidate_grace: clock::Millis,
+    /// How long the key of a finished request that is not idempotent is remembered, in ms.
+    /// Default 60000.
+    pub key_window: clock::Millis,
+    /// Most keys remembered. Default 65536.
+    pub key_ceiling: usize,
+    /// Whether shards that answered from another snapshot are asked again. Default true.
+    pub reask: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            hedge_fraction: 0.04,
+            hedge_quantile: 0.95,
+            hedge_floor: clock::Millis(4),
+            retry_fraction: 0.06,
+            burst: 64.0,
+            attempts_per_shard: 4,
+            ejection: true,
+            ejection_base: clock::Millis(1000),
+            ejection_ceiling: ratio::Ratio::try_from(0.5).unwrap_or_default(),
+            ejection_failures: 3,
+            two_choices: true,
+            reported_load_weight: 0.0,
+            adaptive_admission: true,
+            latency_target: ratio::Ratio::try_from(0.6).unwrap_or_default(),
+            running_ceiling: 512,
+            queue_ceiling: 256,
+            pause: clock::Millis(1000),
+            revalidate_grace: clock::Millis(200),
+            key_window: clock::Millis(60_000),
+            key_ceiling: 65_536,
+            reask: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/query.rs
@@ -0,0 +1,175 @@
+//! A query in flight: its shards, their replies, and the snapshot groups that they form.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+
+use crate::{clock, id, view};
+
+use super::event;
+
+/// Servers remembered as tried for one shard; older ones may be tried again.
+pub(crate) const TRIED: usize = 4;
+/// Live attempts of one shard: a first one and a hedge.
+pub(crate) const LIVE: usize = 2;
+
+/// A reply that may contribute.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Got {
+    pub(crate) snapshot: view::Snapshot,
+    pub(crate) attempt: id::Attempt,
+    pub(crate) hits: u32,
+}
+
+/// One shard of a query.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Part {
+    /// The newest reply of up to two snapshots.
+    pub(crate) got: [Option<Got>; 2],
+    pub(crate) live: [Option<id::Attempt>; LIVE],
+    pub(crate) tried: [Option<id::Server>; TRIED],
+    pub(crate) tries: u8,
+    /// Waits for room at a server or for the end of a backoff.
+    pub(crate) is_waiting: bool,
+    pub(crate) is_failed: bool,
+}
+
+impl Part {
+    pub(crate) fn has_reply(&self) -> bool {
+        self.got[0].is_some()
+    }
+
+    pub(crate) fn of(&self, snapshot: view::Snapshot) -> Option<Got> {
+        self.got.iter().flatten().find(|got| got.snapshot == snapshot).copied()
+    }
+
+    pub(crate) fn live_count(&self) -> usize {
+        self.live.iter().flatten().count()
+    }
+
+    pub(crate) fn is_pending(&self) -> bool {
+        self.is_waiting || self.live_count() > 0
+    }
+
+    pub(crate) fn note_tried(&mut self, server: id::Server) {
+        let row = usize::from(self.tries) % TRIED;
+        self.tried[row] = Some(server);
+        self.tries = self.tries.saturating_add(1);
+    }
+
+    pub(crate) fn was_tried(&self, server: id::Server) -> bool {
+        self.tried.contains(&Some(server))
+    }
+
+    pub(crate) fn add_live(&mut self, attempt: id::Attempt) {
+        for row in &mut self.live {
+            if row.is_none() {
+                *row = Some(attempt);
+                return;
+            }
+        }
+    }
+
+    pub(crate) fn remove_live(&mut self, attempt: id::Attempt) {
+        for row in &mut self.live {
+            if *row == Some(attempt) {
+                *row = None;
+            }
+        }
+    }
+}
+
+/// The replies of one snapshot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Group {
+    pub(crate) snapshot: view::Snapshot,
+    pub(crate) shards: usize,
+    pub(crate) hits: u32,
+}
+
+/// One row of the table of queries.
+#[derive(Debug)]
+pub(crate) struct Query {
+    pub(crate) caller: id::Caller,
+    /// Row in the table of classes.
+    pub(crate) class: usize,
+    /// The view with which it began, and the selector's place in it.
+    pub(crate) view: Arc<view::View>,
+    pub(crate) selector: usize,
+    pub(crate) key: Option<CompactString>,
+    pub(crate) deadline: clock::Millis,
+    pub(crate) started: Option<clock::Millis>,
+    pub(crate) parts: Vec<Part>,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) want: Option<view::Snapshot>,
+    pub(crate) failed: usize,
+    /// Whether any attempt may have run.
+    pub(crate) may_have_run: bool,
+    pub(crate) restarts: u8,
+    pub(crate) saw_epoch: Option<u64>,
+    pub(crate) cost: event::Cost,
+}
+
+impl Query {
+    pub(crate) fn selector(&self) -> &view::Class {
+        &self.view.classes[self.selector]
+    }
+
+    /// The group with most shards, the newest of equals.
+    pub(crate) fn best(&self) -> Option<Group> {
+        self.groups.iter().max_by_key(|group| (group.shards, group.snapshot)).copied()
+    }
+
+    pub(crate) fn is_pending(&self) -> bool {
+        self.parts.iter().any(Part::is_pending)
+    }
+
+    /// Files a reply under its snapshot; a shard counts once in each group.
+    pub(crate) fn file(&mut self, part: usize, got: Got) {
+        let row = &mut self.parts[part];
+        if row.of(got.snapshot).is_some() {
+            return;
+        }
+        row.got.rotate_right(1);
+        if let Some(old) = row.got[0].replace(got) {
+            self.ungroup(old);
+        }
+        for group in &mut self.groups {
+            if group.snapshot != got.snapshot {
+                continue;
+            }
+            group.shards += 1;
+            group.hits += got.hits;
+            return;
+        }
+        self.groups.push(Group { snapshot: got.snapshot, shards: 1, hits: got.hits });
+    }
+
+    fn ungroup(&mut self, old: Got) {
+        for group in &mut self.groups {
+            if group.snapshot != old.snapshot {
+                continue;
+            }
+            group.shards -= 1;
+            group.hits -= old.hits;
+        }
+    }
+}
+
+/// One row of the table of attempts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) query: id::Query,
+    pub(crate) part: u32,
+    pub(crate) server: id::Server,
+    pub(crate) sent: clock::Millis,
+    pub(crate) kind: Kind,
+}
+
+/// Why an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    First,
+    Hedge,
+    Retry,
+}
--- /dev/null
+++ b/crates/core/src/traffic/server.rs
@@ -0,0 +1,176 @@
+//! What a traffic core knows of a backend server from its own evidence.
+
+use std::collections::VecDeque;
+
+use crate::{clock, id, ratio, view};
+
+use super::policy;
+
+/// Weight of the newest latency sample in the moving average.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Latency assumed of a server that never answered, in ms.
+const LATENCY_PRIOR: f64 = 10.0;
+/// Concurrency at which a cold server starts; it grows by one with each success.
+const COLD_LIMIT: f64 = 1.0;
+/// What a shed leaves of the concurrency.
+const SHED_CUT: f64 = 0.7;
+/// Pause after a shed that names none.
+const SHED_PAUSE: clock::Millis = clock::Millis(10);
+/// Longest pause that a shed may ask for: a server that lies about it is asked again.
+const SHED_PAUSE_MAX: clock::Millis = clock::Millis(1000);
+/// Most doublings of the time out of use.
+const EJECTION_DOUBLINGS: u32 = 5;
+/// Age at which a reported load counts half, in ms.
+const LOAD_HALF_LIFE: f64 = 200.0;
+
+/// A shard of a query that waits for a server to have room.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wait {
+    pub(crate) query: id::Query,
+    pub(crate) part: u32,
+}
+
+/// One row of the table of servers.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    /// Attempts in flight; each holds one connection.
+    pub(crate) inflight: u32,
+    /// This core's share of the server's connections.
+    pub(crate) share: u32,
+    pub(crate) incarnation: u64,
+    pub(crate) holds: [Option<view::Snapshot>; 2],
+    pub(crate) waiting: [VecDeque<Wait>; view::Class::PRIORITIES],
+    pub(crate) ejected_until: clock::Millis,
+    limit: f64,
+    latency: f64,
+    answered: u64,
+    failures: u32,
+    ejections: u32,
+    shed_until: clock::Millis,
+    load: f64,
+    load_at: clock::Millis,
+}
+
+impl Default for Server {
+    fn default() -> Self {
+        Self {
+            inflight: 0,
+            share: 0,
+            incarnation: 0,
+            holds: [None; 2],
+            waiting: Default::default(),
+            ejected_until: clock::Millis::ZERO,
+            limit: COLD_LIMIT,
+            latency: LATENCY_PRIOR,
+            answered: 0,
+            failures: 0,
+            ejections: 0,
+            shed_until: clock::Millis::ZERO,
+            load: 0.0,
+            load_at: clock::Millis::ZERO,
+        }
+    }
+}
+
+impl Server {
+    /// Forgets what was learned, when the server comes back under a new incarnation: its cache is
+    /// cold and its index may be another. What is in flight and waiting stays counted.
+    pub(crate) fn restart(&mut self, incarnation: u64) {
+        let fresh = Self {
+            inflight: self.inflight,
+            share: self.share,
+            incarnation,
+            waiting: std::mem::take(&mut self.waiting),
+            ..Self::default()
+        };
+        *self = fresh;
+    }
+
+    pub(crate) fn has_room(&self, now: clock::Millis) -> bool {
+        self.shed_until <= now && self.inflight < self.share.min(self.limit as u32)
+    }
+
+    pub(crate) fn is_ejected(&self, now: clock::Millis) -> bool {
+        self.ejected_until > now
+    }
+
+    pub(crate) fn shed_until(&self) -> clock::Millis {
+        self.shed_until
+    }
+
+    pub(crate) fn waiting_len(&self) -> usize {
+        self.waiting.iter().map(VecDeque::len).sum()
+    }
+
+    /// Expected time to an answer if asked now; smaller is better.
+    pub(crate) fn score(&self, now: clock::Millis, load_weight: f64) -> f64 {
+        let queue = (u64::from(self.inflight) + self.waiting_len() as u64 + 1) as f64;
+        let age = now.since(self.load_at).0 as f64;
+        let hint = load_weight * self.load * (0.5_f64).powf(age / LOAD_HALF_LIFE);
+        (queue + hint) * self.latency.max(0.5)
+    }
+
+    pub(crate) fn holds(&self, snapshot: view::Snapshot) -> bool {
+        self.holds.contains(&Some(snapshot))
+    }
+
+    pub(crate) fn on_answer(&mut self, now: clock::Millis, took: clock::Millis, load: Option<u32>) {
+        let sample = took.0 as f64;
+        if self.answered == 0 {
+            self.latency = sample;
+        } else {
+            self.latency += LATENCY_WEIGHT * (sample - self.latency);
+        }
+        self.answered += 1;
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = clock::Millis::ZERO;
+        self.grow();
+        if let Some(load) = load {
+            self.load = f64::from(load);
+            self.load_at = now;
+        }
+    }
+
+    /// Slow start doubles a cold server's concurrency each round; later it grows by one a round.
+    fn grow(&mut self) {
+        let step = if self.answered < 16 { 1.0 } else { 1.0 / self.limit };
+        self.limit = (self.limit + step).min(f64::from(self.share.max(1)));
+    }
+
+    pub(crate) fn on_shed(&mut self, now: clock::Millis, retry_after: Option<clock::Millis>) {
+        self.limit = (self.limit * SHED_CUT).max(COLD_LIMIT);
+        let pause = retry_after.unwrap_or(SHED_PAUSE).min(SHED_PAUSE_MAX);
+        self.shed_until = self.shed_until.max(now + pause);
+    }
+
+    /// An attempt was given up after `took`: its latency is at least that.
+    pub(crate) fn on_silence(&mut self, took: clock::Millis) {
+        let sample = took.0 as f64;
+        if sample > self.latency {
+            self.latency += LATENCY_WEIGHT * (sample - self.latency);
+        }
+    }
+
+    /// Counts a failure; `true` if the server should now be left out for a while.
+    pub(crate) fn on_failure(&mut self, policy: &policy::Policy) -> bool {
+        self.failures += 1;
+        self.limit = (self.limit * SHED_CUT).max(COLD_LIMIT);
+        policy.ejection && self.failures >= policy.ejection_failures
+    }
+
+    /// Leaves the server out. When the time is over one attempt may try it: `limit` is one until it
+    /// answers, and a further failure ejects it again for twice as long.
+    pub(crate) fn eject(&mut self, now: clock::Millis, base: clock::Millis) {
+        let factor = 1_u64 << self.ejections.min(EJECTION_DOUBLINGS);
+        self.ejected_until = now + clock::Millis(base.0 * factor);
+        self.ejections += 1;
+        self.limit = COLD_LIMIT;
+        self.answered = 0;
+    }
+}
+
+/// Whether one more of `total` servers may be out when `out` are already.
+pub(crate) fn may_eject(out: usize, total: usize, ceiling: ratio::Ratio) -> bool {
+    (out + 1) as f64 <= ceiling.get() * total as f64
+}
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,207 @@
+//! What one accepted configuration means: who can be asked for what.
+//!
+//! A [`View`] is immutable and shared by pointer. It is built from published documents by the
+//! settings package. Servers carry process-wide indexes from a [`Registry`], so state kept about a
+//! server (latency, connections) outlives the view.
+
+use std::{fmt, str};
+
+use compact_str::CompactString;
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::{clock, id, ratio};
+
+/// The identity of a configuration: versions rise, and the digest decides between two documents
+/// that operators raced to publish under one version, alike on every host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The manifest's version.
+    pub version: u64,
+    /// The manifest's digest.
+    pub digest: u64,
+}
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:016x}", self.version, self.digest)
+    }
+}
+
+/// A text that is not a stamp.
+#[derive(Debug, Snafu)]
+pub enum ParseStampError {
+    /// There is no dash between version and digest.
+    #[snafu(display("a stamp is VERSION-DIGEST, such as 7-00000000000000ff"))]
+    Shape,
+    /// One of the two numbers cannot be read.
+    #[snafu(display("a stamp is VERSION-DIGEST, such as 7-00000000000000ff"))]
+    Number {
+        /// What was wrong with it.
+        source: std::num::ParseIntError,
+    },
+}
+
+impl str::FromStr for Stamp {
+    type Err = ParseStampError;
+
+    fn from_str(text: &str) -> Result<Self, ParseStampError> {
+        let (version, digest) = text.split_once('-').context(ShapeSnafu)?;
+        Ok(Self {
+            version: version.parse().context(NumberSnafu)?,
+            digest: u64::from_str_radix(digest, 16).context(NumberSnafu)?,
+        })
+    }
+}
+
+/// The index snapshot from which a reply was computed. Two replies may share an answer only if
+/// both fields are equal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Partition epoch: how the data is cut into shards.
+    pub epoch: u64,
+    /// Index version.
+    pub version: u64,
+}
+
+impl fmt::Display for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.epoch, self.version)
+    }
+}
+
+/// A backend server as this view knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// Operator's name, unique in the fleet.
+    pub name: CompactString,
+    /// `IP:PORT` of its HTTP interface.
+    pub address: CompactString,
+    /// Raised each time the server starts anew.
+    pub incarnation: u64,
+    /// Connections that it accepts from all hosts together.
+    pub connections: u32,
+    /// Queries that it runs at once.
+    pub slots: u32,
+    /// Whether it was marked as leaving in this incarnation.
+    pub leaving: bool,
+}
+
+impl Server {
+    /// This host's share of the server's connections, if `hosts` entry hosts are published. The
+    /// share follows the published list and never who is reachable, so the shares of both sides of
+    /// a partition still add up to no more than the limit.
+    pub fn share(&self, hosts: u32) -> u32 {
+        self.connections / hosts.max(1)
+    }
+}
+
+/// A shard with the replicas that a selector may reach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The shard's name.
+    pub shard: CompactString,
+    /// Its replicas that match the selector, leaving ones included.
+    pub replicas: Vec<id::Server>,
+}
+
+/// A compiled selector: a kind of request and what it may tolerate.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// The selector's name, by which callers ask for it.
+    pub name: CompactString,
+    /// The service that it reaches.
+    pub service: CompactString,
+    /// The partition epoch in which `targets` are valid.
+    pub epoch: u64,
+    /// Longest time to an answer.
+    pub deadline: clock::Millis,
+    /// When an answer with at least `least_coverage` may go out although shards are silent.
+    pub settle: Option<clock::Millis>,
+    /// Least share of shards for an answer.
+    pub least_coverage: ratio::Ratio,
+    /// Number of hits that is enough for an answer before every shard has replied.
+    pub enough_hits: Option<u32>,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// Whether a second replica may be asked while the first is silent.
+    pub hedge: bool,
+    /// 0 is served first, [`Class::PRIORITIES`] - 1 last.
+    pub priority: u8,
+    /// The shards to ask, all of them.
+    pub targets: Vec<Target>,
+}
+
+impl Class {
+    /// The number of priorities.
+    pub const PRIORITIES: usize = 4;
+}
+
+/// One accepted configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// Which configuration this is.
+    pub stamp: Stamp,
+    /// Which host list this is.
+    pub hosts_revision: Stamp,
+    /// Published entry hosts, leaving ones included.
+    pub hosts: u32,
+    /// Compiled selectors by name.
+    pub classes: IndexMap<CompactString, Class>,
+    /// Servers by [`id::Server`]; `None` where a registered server is not published any more.
+    pub servers: Vec<Option<Server>>,
+}
+
+impl View {
+    /// The server of `id`, if this view publishes it.
+    pub fn server(&self, id: id::Server) -> Option<&Server> {
+        self.servers.get(id.index())?.as_ref()
+    }
+
+    /// Whether new work may go to `id`.
+    pub fn is_open(&self, id: id::Server) -> bool {
+        self.server(id).is_some_and(|server| !server.leaving)
+    }
+}
+
+/// Process-wide indexes of servers, and the marks that must outlive a document.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    servers: IndexSet<CompactString>,
+    leaving: IndexSet<(id::Server, u64)>,
+}
+
+impl Registry {
+    /// The index of the server called `name`, the same for the life of the process.
+    pub fn intern(&mut self, name: &str) -> id::Server {
+        let (index, _) = self.servers.insert_full(CompactString::from(name));
+        id::Server(index as u32)
+    }
+
+    /// The number of servers ever seen.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server was seen yet.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Remembers that this incarnation of `id` is leaving. A lagging host list may show it as live
+    /// again later; the mark stays until the server comes back under a new incarnation.
+    pub fn mark_leaving(&mut self, id: id::Server, incarnation: u64) {
+        self.leaving.insert((id, incarnation));
+    }
+
+    /// Forgets every mark; only a mutant does this.
+    pub(crate) fn forget_marks(&mut self) {
+        self.leaving.clear();
+    }
+
+    /// Whether this incarnation of `id` was ever marked as leaving.
+    pub fn is_leaving(&self, id: id::Server, incarnation: u64) -> bool {
+        self.leaving.contains(&(id, incarnation))
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,55 @@
+//! A small HTTP client for one address.
+
+use std::net;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use snafu::ResultExt;
+use tokio::task;
+
+use crate::error;
+
+/// A connection that can be used again.
+#[derive(Debug)]
+pub struct Connection {
+    address: net::SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects to `address`.
+    pub async fn open(address: net::SocketAddr) -> Result<Self, error::Error> {
+        let stream = tokio::net::TcpStream::connect(address).await.context(error::ConnectSnafu { address })?;
+        stream.set_nodelay(true).context(error::ConnectSnafu { address })?;
+        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.context(error::CallSnafu { address })?;
+        task::spawn(connection);
+        Ok(Self { address, sender })
+    }
+
+    /// Whether it can be used again.
+    pub fn is_open(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn call(&mut self, request: http::Request<Full<Bytes>>) -> Result<http::Response<Bytes>, error::Error> {
+        let address = self.address;
+        let response = self.sender.send_request(request).await.context(error::CallSnafu { address })?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.context(error::CallSnafu { address })?;
+        // The connection may be closing; the next user looks.
+        self.sender.ready().await.ok();
+        Ok(http::Response::from_parts(head, body.to_bytes()))
+    }
+}
+
+/// Reads `path` once.
+pub async fn get(address: net::SocketAddr, path: &str) -> Result<http::Response<Bytes>, error::Error> {
+    let mut connection = Connection::open(address).await?;
+    let request = http::Request::get(path).header(http::header::HOST, address.to_string());
+    let request = request.body(Full::default()).context(error::RequestSnafu)?;
+    connection.call(request).await
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,231 @@
+//! The command line of `shallotctl`.
+
+use std::{fs, net, path, time::Duration};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use compact_str::CompactString;
+use shallothub_core::plan;
+use shallothub_node::{run as node_run, shared};
+use snafu::ResultExt;
+
+use crate::{client, documents, error, load};
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("shallotctl")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("The operator's tool of shallothub")
+        .subcommand_required(true)
+        .subcommand(check())
+        .subcommand(manifest())
+        .subcommand(explain())
+        .subcommand(status())
+        .subcommand(load())
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Check settings or documents and print every fault with line, column and remedy")
+        .arg(Arg::new("settings").long("settings").value_name("FILE").help("Settings of a node"))
+        .arg(Arg::new("documents").long("documents").value_name("DIR").help("Documents, laid out like their keys"))
+}
+
+fn manifest() -> Command {
+    Command::new("manifest")
+        .about("Write the manifests of documents, to be published last")
+        .arg(Arg::new("documents").long("documents").value_name("DIR").required(true).help("Documents"))
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .value_name("N")
+                .required(true)
+                .value_parser(value_parser!(u64).range(1..))
+                .help("Higher than the one in force"),
+        )
+}
+
+fn node() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("IP:PORT")
+        .required(true)
+        .value_parser(value_parser!(net::SocketAddr))
+        .help("A node's address for callers")
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tell which servers a selector reaches and why not the others, or what became of a query")
+        .arg(node())
+        .arg(Arg::new("selector").long("selector").value_name("NAME").conflicts_with("query").help("A selector"))
+        .arg(Arg::new("query").long("query").value_name("NAME").help("A query, as its answer named it"))
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show what is in force on nodes")
+        .arg(node().action(ArgAction::Append))
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON lines"))
+}
+
+fn load() -> Command {
+    Command::new("load")
+        .about("Generate an open-loop load and print what came of it")
+        .arg(node().action(ArgAction::Append))
+        .arg(Arg::new("class").long("class").value_name("NAME").required(true).help("The selector to ask for"))
+        .arg(
+            Arg::new("rate")
+                .long("rate")
+                .value_name("N")
+                .default_value("50")
+                .value_parser(value_parser!(f64))
+                .help("Requests a second"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .default_value("10")
+                .value_parser(value_parser!(u64).range(1..=86_400))
+                .help("How long"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the arrivals"),
+        )
+        .arg(Arg::new("keys").long("keys").action(ArgAction::SetTrue).help("Give each request a key of its own"))
+        .arg(Arg::new("json").long("json").value_name("FILE").help("Also write the report there, in JSON"))
+}
+
+/// Carries out what the command line says.
+pub async fn run(matches: &ArgMatches) -> Result<(), error::Error> {
+    match matches.subcommand() {
+        Some(("check", matches)) => run_check(matches),
+        Some(("manifest", matches)) => run_manifest(matches),
+        Some(("explain", matches)) => run_explain(matches).await,
+        Some(("status", matches)) => run_status(matches).await,
+        Some(("load", matches)) => run_load(matches).await,
+        _ => error::ArgumentSnafu { detail: "no such command; see `shallotctl --help`" }.fail(),
+    }
+}
+
+fn text<'m>(matches: &'m ArgMatches, name: &str) -> Option<&'m str> {
+    matches.get_one::<String>(name).map(String::as_str)
+}
+
+fn addresses(matches: &ArgMatches) -> Vec<net::SocketAddr> {
+    matches.get_many("node").into_iter().flatten().copied().collect()
+}
+
+fn run_check(matches: &ArgMatches) -> Result<(), error::Error> {
+    let settings = text(matches, "settings");
+    let directory = text(matches, "documents");
+    if settings.is_none() && directory.is_none() {
+        return error::ArgumentSnafu { detail: "nothing to check; give --settings FILE or --documents DIR" }.fail();
+    }
+    if let Some(path) = settings {
+        let settings = node_run::settings(path).context(error::SettingsSnafu)?;
+        println!("{path}: no fault; this is host {}", settings.name);
+    }
+    if let Some(directory) = directory {
+        let faults = documents::check(path::Path::new(directory))?;
+        if !faults.is_empty() {
+            return error::FaultsSnafu { faults }.fail();
+        }
+        println!("{directory}: no fault");
+    }
+    Ok(())
+}
+
+fn run_manifest(matches: &ArgMatches) -> Result<(), error::Error> {
+    let directory = text(matches, "documents").unwrap_or_default();
+    let version = matches.get_one("version").copied().unwrap_or_default();
+    for stamp in documents::write_manifests(path::Path::new(directory), version)? {
+        println!("{stamp}");
+    }
+    Ok(())
+}
+
+async fn run_explain(matches: &ArgMatches) -> Result<(), error::Error> {
+    let Some(&address) = addresses(matches).first() else {
+        return error::ArgumentSnafu { detail: "give --node IP:PORT" }.fail();
+    };
+    if let Some(query) = text(matches, "query") {
+        let response = client::get(address, &format!("/explain/query/{query}")).await?;
+        print!("{}", String::from_utf8_lossy(response.body()));
+        return Ok(());
+    }
+    let Some(selector) = text(matches, "selector") else {
+        return error::ArgumentSnafu { detail: "give --selector NAME or --query NAME" }.fail();
+    };
+    let response = client::get(address, &format!("/explain/selector/{selector}")).await?;
+    let reasons: Result<Vec<(CompactString, plan::Reason)>, _> = serde_json::from_slice(response.body());
+    let Ok(reasons) = reasons else {
+        return error::ArgumentSnafu { detail: String::from_utf8_lossy(response.body()) }.fail();
+    };
+    for (server, reason) in reasons {
+        match reason {
+            plan::Reason::Reached => println!("{server}: reached"),
+            plan::Reason::Label(label) => println!("{server}: not reached, lacks {label}"),
+            plan::Reason::Leaving => println!("{server}: not reached, leaving"),
+            plan::Reason::NotListed => println!("{server}: not reached, not in the list of hosts"),
+        }
+    }
+    Ok(())
+}
+
+async fn run_status(matches: &ArgMatches) -> Result<(), error::Error> {
+    for address in addresses(matches) {
+        let response = client::get(address, "/status").await?;
+        if matches.get_flag("json") {
+            println!("{}", String::from_utf8_lossy(response.body()));
+            continue;
+        }
+        let status: shared::Status = match serde_json::from_slice(response.body()) {
+            Ok(status) => status,
+            Err(error) => return error::WriteSnafu { detail: error.to_string() }.fail(),
+        };
+        print_status(&status);
+    }
+    Ok(())
+}
+
+fn print_status(status: &shared::Status) {
+    let age = |age: Option<shallothub_core::clock::Millis>| age.map_or("never".to_owned(), |age| age.to_string());
+    println!("{} in {}", status.host, status.data_centre);
+    println!("  config {}, confirmed {} ago", status.config, age(status.config_age_ms));
+    println!("  hosts  {}, confirmed {} ago", status.hosts, age(status.hosts_age_ms));
+    println!("  watches the platform: {}; calls so far: {}", status.watcher, status.control.platform_calls);
+    for fault in &status.refused {
+        println!("  refused: {fault}");
+    }
+}
+
+async fn run_load(matches: &ArgMatches) -> Result<(), error::Error> {
+    let rate: f64 = matches.get_one("rate").copied().unwrap_or(1.0);
+    if !(rate > 0.0 && rate <= 1_000_000.0) {
+        return error::ArgumentSnafu { detail: "--rate wants a number above 0" }.fail();
+    }
+    let plan = load::Plan {
+        targets: addresses(matches),
+        class: CompactString::from(text(matches, "class").unwrap_or_default()),
+        rate,
+        span: Duration::from_secs(matches.get_one("seconds").copied().unwrap_or(10)),
+        seed: matches.get_one("seed").copied().unwrap_or(1),
+        with_keys: matches.get_flag("keys"),
+    };
+    let report = load::run(&plan).await?;
+    let json = match serde_json::to_string_pretty(&report) {
+        Ok(json) => json,
+        Err(error) => return error::WriteSnafu { detail: error.to_string() }.fail(),
+    };
+    println!("{json}");
+    if let Some(path) = text(matches, "json") {
+        fs::write(path, json).context(error::FileSnafu { path })?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/documents.rs
@@ -0,0 +1,111 @@
+//! Documents in a directory that is laid out like the platform's keys:
+//! `DIR/shallothub/services/NAME.yaml`, `selectors/`, `hosts/`, and the two manifests
+//! `DIR/shallothub/config.yaml` and `DIR/shallothub/hosts.yaml`.
+
+use std::{fs, path};
+
+use compact_str::{CompactString, format_compact};
+use indexmap::IndexMap;
+use shallothub_core::{catalog, plan};
+use shallothub_settings::document;
+use snafu::ResultExt;
+
+use crate::error;
+
+const ROOT: &str = "shallothub";
+
+/// Which directories hold the parts of a catalog.
+fn folders(kind: catalog::Kind) -> &'static [&'static str] {
+    match kind {
+        catalog::Kind::Config => &["services", "selectors"],
+        catalog::Kind::Hosts => &["hosts"],
+    }
+}
+
+/// The parts of a catalog by key, in order of the keys.
+pub fn read(directory: &path::Path, kind: catalog::Kind) -> Result<IndexMap<CompactString, String>, error::Error> {
+    let mut parts = IndexMap::new();
+    for folder in folders(kind) {
+        let folder_path = directory.join(ROOT).join(folder);
+        let path = folder_path.display().to_string();
+        for entry in fs::read_dir(&folder_path).context(error::FileSnafu { path: &path })? {
+            let file = entry.context(error::FileSnafu { path: &path })?.path();
+            let is_yaml = file.extension().is_some_and(|extension| extension == "yaml");
+            let Some(stem) = file.file_stem().filter(|_| is_yaml) else {
+                continue;
+            };
+            let text = fs::read_to_string(&file).context(error::FileSnafu { path: file.display().to_string() })?;
+            parts.insert(format_compact!("{ROOT}/{folder}/{}", stem.to_string_lossy()), text);
+        }
+    }
+    parts.sort_unstable_keys();
+    Ok(parts)
+}
+
+/// Every fault of the documents, as a node would find them.
+pub fn check(directory: &path::Path) -> Result<Vec<plan::Fault>, error::Error> {
+    let mut faults = Vec::new();
+    for kind in catalog::Kind::ALL {
+        let parts = read(directory, kind)?;
+        let mut parsed = IndexMap::new();
+        for (key, text) in &parts {
+            match document::part(key, text) {
+                Ok(part) => {
+                    parsed.insert(key.clone(), part);
+                }
+                Err(found) => faults.extend(found),
+            }
+        }
+        faults.extend(plan::check(&parsed));
+        faults.extend(check_manifest(directory, kind, &parts)?);
+    }
+    Ok(faults)
+}
+
+fn manifest_path(directory: &path::Path, kind: catalog::Kind) -> path::PathBuf {
+    directory.join(kind.manifest_key()).with_extension("yaml")
+}
+
+fn check_manifest(
+    directory: &path::Path,
+    kind: catalog::Kind,
+    parts: &IndexMap<CompactString, String>,
+) -> Result<Vec<plan::Fault>, error::Error> {
+    let path = manifest_path(directory, kind);
+    let name = path.display().to_string();
+    let text = fs::read_to_string(&path).context(error::FileSnafu { path: name.clone() })?;
+    let manifest = match document::manifest(&text) {
+        Ok(manifest) => manifest,
+        Err(faults) => return Ok(faults),
+    };
+    let found: IndexMap<CompactString, catalog::Digest> =
+        parts.iter().map(|(key, text)| (key.clone(), catalog::Digest::of(text))).collect();
+    if found == manifest.parts {
+        return Ok(Vec::new());
+    }
+    Ok(vec![plan::Fault {
+        document: CompactString::from(name),
+        place: plan::Place { line: 1, column: 1 },
+        problem: "the manifest does not fit the parts beside it".to_owned(),
+        remedy: "make it anew with `shallotctl manifest`, with a higher version".to_owned(),
+    }])
+}
+
+/// Writes the manifests of a directory; returns their stamps.
+pub fn write_manifests(directory: &path::Path, version: u64) -> Result<Vec<CompactString>, error::Error> {
+    let mut stamps = Vec::new();
+    for kind in catalog::Kind::ALL {
+        let mut manifest = catalog::Manifest { version, parts: IndexMap::new() };
+        for (key, text) in read(directory, kind)? {
+            manifest.parts.insert(key, catalog::Digest::of(&text));
+        }
+        let path = manifest_path(directory, kind);
+        let text = match serde_saphyr::to_string(&manifest) {
+            Ok(text) => text,
+            Err(error) => return error::WriteSnafu { detail: error.to_string() }.fail(),
+        };
+        fs::write(&path, text).context(error::FileSnafu { path: path.display().to_string() })?;
+        stamps.push(format_compact!("{kind} {}", manifest.stamp()));
+    }
+    Ok(stamps)
+}
--- /dev/null
+++ b/crates/node/src/control/peer.rs
@@ -0,0 +1,121 @@
+//! Messages between hosts over nng: one pull socket to listen, one push socket for each host that
+//! is written to.
+//!
+//! A push socket drops without a word what it cannot hold. That is harmless here, because a message
+//! is only ever state that will be sent again.
+
+use std::net;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use nng::options::{Options, RecvMaxSize, SendBufferSize};
+use shallothub_core::control::message;
+use shallothub_wire as wire;
+use snafu::ResultExt;
+use tokio::sync::mpsc;
+
+use crate::{error, shared};
+
+/// Largest message, in bytes: a whole catalog of the target size.
+const MESSAGE_MAX: usize = 64 << 20;
+/// Messages held for a host that is being connected to.
+const SEND_BUFFER: i32 = 4;
+/// Hosts to which a connection is kept.
+const SENDERS_MOST: usize = 64;
+
+/// Receives messages until dropped.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    socket: nng::Socket,
+}
+
+impl Listener {
+    pub(crate) fn new(
+        address: net::SocketAddr,
+        words: mpsc::UnboundedSender<shared::ToControl>,
+    ) -> Result<Self, error::Error> {
+        Self::open(address, words).context(error::ListenPeerSnafu { address })
+    }
+
+    fn open(address: net::SocketAddr, words: mpsc::UnboundedSender<shared::ToControl>) -> nng::Result<Self> {
+        let socket = nng::Socket::new(nng::Protocol::Pull0)?;
+        socket.set_opt::<RecvMaxSize>(MESSAGE_MAX)?;
+        let receiver = socket.clone();
+        let aio = nng::Aio::new(move |aio, result| match result {
+            nng::AioResult::Recv(Ok(message)) => {
+                words.send(shared::ToControl::Peer(message.as_slice().to_vec())).ok();
+                receiver.recv_async(&aio).ok();
+            }
+            nng::AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => {}
+            _ => {
+                receiver.recv_async(&aio).ok();
+            }
+        })?;
+        socket.listen(&format!("tcp://{address}"))?;
+        socket.recv_async(&aio)?;
+        Ok(Self { socket })
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.socket.close();
+    }
+}
+
+/// Push sockets by address, the least recently opened first.
+#[derive(Debug, Default)]
+pub(crate) struct Senders {
+    sockets: IndexMap<CompactString, nng::Socket>,
+}
+
+impl Senders {
+    /// Sends, or drops the message if the host cannot be reached or is behind.
+    pub(crate) fn send(&mut self, to: &CompactString, message: &message::Message) {
+        let bytes = match wire::peer::encode(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(detail = %error, "a message was not sent");
+                return;
+            }
+        };
+        let Some(socket) = self.socket(to) else {
+            return;
+        };
+        if let Err((_, error)) = socket.try_send(bytes.as_slice()) {
+            tracing::debug!(to = %to, detail = %error, "a message was dropped");
+        }
+    }
+
+    fn socket(&mut self, to: &CompactString) -> Option<&nng::Socket> {
+        if !self.sockets.contains_key(to) {
+            match open(to) {
+                Ok(socket) => {
+                    self.make_room();
+                    self.sockets.insert(to.clone(), socket);
+                }
+                Err(error) => {
+                    tracing::warn!(to = %to, detail = %error, "no socket to another host");
+                    return None;
+                }
+            }
+        }
+        self.sockets.get(to)
+    }
+
+    fn make_room(&mut self) {
+        if self.sockets.len() < SENDERS_MOST {
+            return;
+        }
+        if let Some((_, socket)) = self.sockets.shift_remove_index(0) {
+            socket.close();
+        }
+    }
+}
+
+fn open(to: &str) -> nng::Result<nng::Socket> {
+    let socket = nng::Socket::new(nng::Protocol::Push0)?;
+    socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
+    socket.dial_async(&format!("tcp://{to}"))?;
+    Ok(socket)
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,133 @@
+//! Metrics for Prometheus: histograms for each class and service, counters of outcomes and breaches.
+
+use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use snafu::ResultExt;
+
+use shallothub_core::{control, invariant, traffic};
+
+use crate::error;
+
+const LATENCY_BUCKETS: [f64; 16] =
+    [1.0, 2.0, 3.0, 5.0, 8.0, 12.0, 20.0, 35.0, 60.0, 100.0, 150.0, 240.0, 400.0, 700.0, 1500.0, 5000.0];
+const COVERAGE_BUCKETS: [f64; 8] = [0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1.0];
+
+/// All metrics of a node.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Time from request to answer, in ms, by class and outcome.
+    pub query_ms: HistogramVec,
+    /// Share of shards in an answer, by class.
+    pub coverage: HistogramVec,
+    /// Time from dispatch to reply, in ms, by service.
+    pub attempt_ms: HistogramVec,
+    /// Answers by class, outcome and code.
+    pub answers: IntCounterVec,
+    /// Broken promises by name.
+    pub breaches: IntCounterVec,
+    /// Counters and sizes of the traffic cores, by lane and name.
+    pub lane: IntGaugeVec,
+    /// Counters of the control core, by name.
+    pub control: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Result<Self, error::Error> {
+        Self::register().context(error::MetricsSnafu)
+    }
+
+    fn register() -> Result<Self, prometheus::Error> {
+        let histogram = |name: &str, help: &str, buckets: &[f64], labels: &[&str]| {
+            HistogramVec::new(HistogramOpts::new(name, help).buckets(buckets.to_vec()), labels)
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            query_ms: histogram(
+                "shallothub_query_ms",
+                "Time from request to answer",
+                &LATENCY_BUCKETS,
+                &["class", "outcome"],
+            )?,
+            coverage: histogram("shallothub_coverage", "Share of shards in an answer", &COVERAGE_BUCKETS, &["class"])?,
+            attempt_ms: histogram(
+                "shallothub_attempt_ms",
+                "Time from dispatch to reply",
+                &LATENCY_BUCKETS,
+                &["service"],
+            )?,
+            answers: IntCounterVec::new(Opts::new("shallothub_answers", "Answers"), &["class", "outcome", "code"])?,
+            breaches: IntCounterVec::new(Opts::new("shallothub_breaches", "Promises that did not hold"), &["promise"])?,
+            lane: IntGaugeVec::new(Opts::new("shallothub_lane", "Counters and sizes of a lane"), &["lane", "name"])?,
+            control: IntGaugeVec::new(Opts::new("shallothub_control", "Counters of control"), &["name"])?,
+        };
+        metrics.registry.register(Box::new(metrics.query_ms.clone()))?;
+        metrics.registry.register(Box::new(metrics.coverage.clone()))?;
+        metrics.registry.register(Box::new(metrics.attempt_ms.clone()))?;
+        metrics.registry.register(Box::new(metrics.answers.clone()))?;
+        metrics.registry.register(Box::new(metrics.breaches.clone()))?;
+        metrics.registry.register(Box::new(metrics.lane.clone()))?;
+        metrics.registry.register(Box::new(metrics.control.clone()))?;
+        for name in invariant::Name::ALL {
+            metrics.breaches.with_label_values(&[name.as_str()]).inc_by(0);
+        }
+        Ok(metrics)
+    }
+
+    /// Counts and logs a broken promise.
+    pub fn breach(&self, breach: &invariant::Breach) {
+        self.breaches.with_label_values(&[breach.name.as_str()]).inc();
+        tracing::error!(promise = %breach.name, detail = %breach.detail, "a promise did not hold");
+    }
+
+    /// Takes over a lane's counters.
+    pub fn set_lane(&self, lane: usize, stats: &traffic::summary::Stats) {
+        let lane = lane.to_string();
+        let rows = [
+            ("queries", stats.queries as i64),
+            ("attempts", stats.attempts as i64),
+            ("keys", stats.keys as i64),
+            ("timers", stats.timers as i64),
+            ("ejected", stats.ejected as i64),
+            ("first_attempts", stats.first as i64),
+            ("hedges", stats.hedges as i64),
+            ("retries", stats.retries as i64),
+            ("not_sent", stats.not_sent as i64),
+            ("refused", stats.refused as i64),
+            ("lost", stats.lost as i64),
+            ("late_replies", stats.late as i64),
+            ("mixed_queries", stats.mixed as i64),
+            ("restarts", stats.restarts as i64),
+            ("pauses", stats.pauses as i64),
+            ("ejections", stats.ejections as i64),
+        ];
+        for (name, value) in rows {
+            self.lane.with_label_values(&[lane.as_str(), name]).set(value);
+        }
+    }
+
+    /// Takes over the control core's counters.
+    pub fn set_control(&self, stats: &control::Stats) {
+        let rows = [
+            ("platform_calls", stats.platform_calls),
+            ("platform_failures", stats.platform_failures),
+            ("platform_stale", stats.platform_stale),
+            ("messages_sent", stats.sent),
+            ("messages_received", stats.received),
+            ("messages_unknown", stats.unknown),
+            ("catalogs_adopted", stats.adopted),
+            ("catalogs_refused", stats.refused),
+        ];
+        for (name, value) in rows {
+            self.control.with_label_values(&[name]).set(value as i64);
+        }
+    }
+
+    /// All metrics in Prometheus' text format.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        // Writing to memory fails only on metrics that contradict each other, and these are fixed.
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).ok();
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,174 @@
+//! The published documents: manifests, services, selectors and hosts.
+//!
+//! The key's second segment tells what a part holds: `shallothub/services/...`,
+//! `shallothub/selectors/...` or `shallothub/hosts/...`.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_saphyr::Spanned;
+use shallothub_core::{catalog, clock, control, plan, ratio};
+
+use crate::yaml;
+
+/// The functions that the control core reads documents with.
+pub const READER: control::Reader = control::Reader { manifest, part };
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Services {
+    entry_hosts_most: u32,
+    services: Vec<Service>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Service {
+    name: Spanned<CompactString>,
+    #[serde(default)]
+    epoch: u64,
+    shards: Vec<CompactString>,
+    servers: Vec<Server>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Server {
+    name: Spanned<CompactString>,
+    shards: Vec<CompactString>,
+    #[serde(default)]
+    labels: plan::Labels,
+    connections: u32,
+    slots: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Selectors {
+    selectors: Vec<Selector>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Selector {
+    name: Spanned<CompactString>,
+    service: CompactString,
+    #[serde(default, rename = "match")]
+    labels: plan::Labels,
+    #[serde(default)]
+    reach: plan::Reach,
+    deadline_ms: clock::Millis,
+    settle_ms: Option<clock::Millis>,
+    least_coverage: ratio::Ratio,
+    enough_hits: Option<u32>,
+    idempotent: bool,
+    #[serde(default)]
+    hedge: bool,
+    #[serde(default)]
+    priority: u8,
+}
+
+/// A part of the list of hosts, also as the platform's stand-in writes it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hosts {
+    /// Entry hosts of the system.
+    #[serde(default)]
+    pub entry_hosts: Vec<plan::EntryHost>,
+    /// Backend servers.
+    #[serde(default)]
+    pub backend_servers: Vec<plan::BackendServer>,
+}
+
+/// Reads a manifest.
+pub fn manifest(text: &str) -> Result<catalog::Manifest, Vec<plan::Fault>> {
+    let manifest: catalog::Manifest = yaml::read("manifest", text)?;
+    if manifest.version == 0 || manifest.parts.is_empty() {
+        return Err(vec![plan::Fault {
+            document: CompactString::const_new("manifest"),
+            place: plan::Place { line: 1, column: 1 },
+            problem: "the manifest has version 0 or no parts".to_owned(),
+            remedy: "make it anew with `shallotctl manifest`".to_owned(),
+        }]);
+    }
+    Ok(manifest)
+}
+
+/// Reads the part published under `key`.
+pub fn part(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
+    if text.len() > catalog::VALUE_MAX {
+        return Err(vec![too_large(key, text.len())]);
+    }
+    match key.split('/').nth(1) {
+        Some("services") => services(key, text),
+        Some("selectors") => selectors(key, text),
+        Some("hosts") => hosts(key, text),
+        _ => Err(vec![plan::Fault {
+            document: CompactString::from(key),
+            place: plan::Place::default(),
+            problem: "the key does not tell what the part holds".to_owned(),
+            remedy: "name it shallothub/services/..., shallothub/selectors/... or shallothub/hosts/...".to_owned(),
+        }]),
+    }
+}
+
+fn too_large(key: &str, bytes: usize) -> plan::Fault {
+    plan::Fault {
+        document: CompactString::from(key),
+        place: plan::Place::default(),
+        problem: format!("the value has {bytes} bytes; the platform holds {} at most", catalog::VALUE_MAX),
+        remedy: "cut it into several parts with keys of their own".to_owned(),
+    }
+}
+
+fn services(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
+    let document: Services = yaml::read(key, text)?;
+    let mut services = Vec::with_capacity(document.services.len());
+    for service in document.services {
+        services.push(plan::Service {
+            place: yaml::place(service.name.referenced),
+            name: service.name.value,
+            epoch: service.epoch,
+            shards: service.shards,
+            servers: service.servers.into_iter().map(server).collect(),
+        });
+    }
+    Ok(plan::Part::Services { entry_hosts_most: document.entry_hosts_most, services })
+}
+
+fn server(server: Server) -> plan::Server {
+    plan::Server {
+        place: yaml::place(server.name.referenced),
+        name: server.name.value,
+        shards: server.shards,
+        labels: server.labels,
+        connections: server.connections,
+        slots: server.slots,
+    }
+}
+
+fn selectors(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
+    let document: Selectors = yaml::read(key, text)?;
+    let mut selectors = Vec::with_capacity(document.selectors.len());
+    for row in document.selectors {
+        selectors.push(plan::Selector {
+            place: yaml::place(row.name.referenced),
+            name: row.name.value,
+            service: row.service,
+            labels: row.labels,
+            reach: row.reach,
+            deadline: row.deadline_ms,
+            settle: row.settle_ms,
+            least_coverage: row.least_coverage,
+            enough_hits: row.enough_hits,
+            idempotent: row.idempotent,
+            hedge: row.hedge,
+            priority: row.priority,
+        });
+    }
+    Ok(plan::Part::Selectors(selectors))
+}
+
+fn hosts(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
+    let document: Hosts = yaml::read(key, text)?;
+    Ok(plan::Part::Hosts { entry_hosts: document.entry_hosts, backend_servers: document.backend_servers })
+}
--- /dev/null
+++ b/crates/settings/src/node.rs
@@ -0,0 +1,122 @@
+//! The settings of one node, from the file given with `--settings`.
+
+use std::net;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use shallothub_core::{clock, control, plan, traffic};
+
+use crate::yaml;
+
+/// Settings of one node. Times are in milliseconds, sizes in bytes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This host's name in the platform's list of hosts.
+    pub name: CompactString,
+    /// Its data centre.
+    pub data_centre: CompactString,
+    /// `IP:PORT` for callers, health and metrics.
+    pub listen: net::SocketAddr,
+    /// `IP:PORT` for the other hosts.
+    pub peer: net::SocketAddr,
+    /// `IP:PORT` of the platform's configuration service.
+    pub platform: net::SocketAddr,
+    /// Other hosts to ask on start before the platform, `IP:PORT`. Default none.
+    #[serde(default)]
+    pub seeds: Vec<net::SocketAddr>,
+    /// Traffic threads. Each gets a part of this host's share of connections, so a small share
+    /// wants one thread. Default 1.
+    #[serde(default = "one")]
+    pub traffic_threads: u32,
+    /// Log filter, such as `info` or `shallothub_node=debug`; read again on SIGHUP. Default `info`.
+    #[serde(default = "info")]
+    pub log: CompactString,
+    /// Largest request body, in bytes. Default 65536.
+    #[serde(default = "request_bytes")]
+    pub request_bytes_max: usize,
+    /// Largest answer of one shard, in bytes. Default 1048576.
+    #[serde(default = "reply_bytes")]
+    pub reply_bytes_max: usize,
+    /// Longest time to read a request's body, in ms. Default 2000.
+    #[serde(default = "body_wait")]
+    pub body_wait_ms: clock::Millis,
+    /// Time to go on serving after SIGTERM so that the balancer notices, in ms. Default 3000.
+    #[serde(default = "balancer_lag")]
+    pub balancer_lag_ms: clock::Millis,
+    /// Longest time to finish requests after that, in ms. Default 10000.
+    #[serde(default = "drain_most")]
+    pub drain_most_ms: clock::Millis,
+    /// Knobs of the decisions on traffic.
+    #[serde(default)]
+    pub traffic: traffic::policy::Policy,
+    /// Knobs of the decisions on configuration.
+    #[serde(default)]
+    pub control: control::Policy,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn info() -> CompactString {
+    CompactString::const_new("info")
+}
+
+fn request_bytes() -> usize {
+    64 << 10
+}
+
+fn reply_bytes() -> usize {
+    1 << 20
+}
+
+fn body_wait() -> clock::Millis {
+    clock::Millis(2000)
+}
+
+fn balancer_lag() -> clock::Millis {
+    clock::Millis(3000)
+}
+
+fn drain_most() -> clock::Millis {
+    clock::Millis(10_000)
+}
+
+/// Reads and checks settings; `document` names the file in faults.
+pub fn read(document: &str, text: &str) -> Result<Settings, Vec<plan::Fault>> {
+    let settings: Settings = yaml::read(document, text)?;
+    let faults = check(document, &settings);
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
+}
+
+fn check(document: &str, settings: &Settings) -> Vec<plan::Fault> {
+    let mut faults = Vec::new();
+    let mut fault = |problem: &str, remedy: &str| {
+        faults.push(plan::Fault {
+            document: CompactString::from(document),
+            place: plan::Place { line: 1, column: 1 },
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        });
+    };
+    if settings.traffic_threads == 0 {
+        fault("`traffic_threads` is 0", "set it to 1 or more");
+    }
+    if settings.peer == settings.listen && settings.listen.port() != 0 {
+        fault("`peer` and `listen` are the same address", "give them two ports");
+    }
+    if settings.peer.ip().is_unspecified() {
+        fault("`peer` names no address that other hosts could reach", "write this host's IP number");
+    }
+    if settings.name.is_empty() || settings.data_centre.is_empty() {
+        fault("`name` or `data_centre` is empty", "write them as in the platform's list of hosts");
+    }
+    if settings.traffic.hedge_fraction < 0.0 || settings.traffic.retry_fraction < 0.0 {
+        fault("a budget under `traffic` is negative", "set `hedge_fraction` and `retry_fraction` to 0 or more");
+    }
+    if settings.control.watchers == 0 || settings.control.fanout == 0 {
+        fault("`control` has no watchers or no fanout", "set both to 1 or more");
+    }
+    faults
+}
