--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -10,7 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, ratio, view};
+use crate::{clock, mutant, ratio, view};
 
 /// A place in a document, from 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -417,7 +417,7 @@
             }
             Part::Selectors(rows) => selectors.extend(rows),
             Part::Hosts { entry_hosts: hosts, backend_servers } => {
-                entry_hosts += hosts.len() as u32;
+                entry_hosts += count_hosts(hosts);
                 listed.extend(backend_servers.iter().map(|server| (&server.name, server)));
             }
         }
@@ -425,7 +425,7 @@
     let mut view = view::View {
         stamp: stamps[0],
         hosts_revision: stamps[1],
-        hosts: most.max(entry_hosts),
+        hosts: if mutant::is(mutant::Mutant::ShareByReach) { entry_hosts } else { most.max(entry_hosts) },
         ..view::View::default()
     };
     for server in services.values().flat_map(|service| &service.servers) {
@@ -440,6 +440,16 @@
     view
 }
 
+/// Entry hosts that may hold connections: leaving ones do until they are gone.
+fn count_hosts(hosts: &[EntryHost]) -> u32 {
+    let mut count = 0;
+    for host in hosts {
+        let is_gone = mutant::is(mutant::Mutant::ShareByReach) && host.state == State::Leaving;
+        count += u32::from(!is_gone);
+    }
+    count
+}
+
 fn add_server(view: &mut view::View, server: &Server, listed: Option<&BackendServer>, registry: &mut view::Registry) {
     let id = registry.intern(&server.name);
     if view.servers.len() <= id.index() {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Core::step`] takes a batch of inputs and runs the systems over the tables in one fixed order:
 //! pause guard, timers, inputs, admission. Outputs are collected in the order in which the shell
-//! must carry them out. One core serves one traffic thread and shares nothing with another.
+//! must carry them out. A view that leads the batch is taken before the timers. One core serves one traffic thread and shares nothing with another.
 //!
 //! The systems stand in modules of their own: [`admit`] (limits and refusals), [`dispatch`]
 //! (replica choice, queues at servers, hedges, retries) and [`gather`] (snapshots, coverage,
@@ -103,6 +103,12 @@
     pub fn step(&mut self, now: clock::Millis, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         self.guard_pause(now);
         self.now = now.max(self.now);
+        let mut inputs = inputs.into_iter().peekable();
+        // A view goes before the timers: a hedge or retry that is due in this very step would
+        // otherwise still go by the old view, to a server whose leaving mark is in the new one.
+        while let Some(view) = inputs.next_if(|input| matches!(input, Input::View(_))) {
+            self.take(view);
+        }
         self.run_timers();
         for input in inputs {
             self.take(input);
