--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,6 +1,6 @@
 //! The control thread: it runs the control core, reads the platform and talks to other hosts.
 
-mod peer;
+pub(crate) mod peer;
 mod platform;
 
 use std::{sync::Arc, thread};
@@ -19,11 +19,11 @@
 const FAULTS_SHOWN: usize = 20;
 
 /// Starts the thread. It ends with the process.
-pub fn start(
+pub(crate) fn start(
     shared: Arc<shared::Shared>,
     words: mpsc::UnboundedReceiver<shared::ToControl>,
+    listener: peer::Listener,
 ) -> Result<thread::JoinHandle<()>, error::Error> {
-    let listener = peer::Listener::new(shared.settings.peer, shared.control.clone())?;
     let builder = thread::Builder::new().name("control".to_owned());
     log::thread(builder.spawn(move || {
         let runtime = runtime::Builder::new_current_thread().enable_all().build();
@@ -52,7 +52,7 @@
         let identity = control::Identity {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
-            peer: format_compact!("{}", settings.peer),
+            peer: format_compact!("{}", shared.peer),
             seeds: settings.seeds.iter().map(|seed| format_compact!("{seed}")).collect(),
         };
         let seed = catalog::Digest::of(&settings.name).0 ^ shared.origin.start();
--- a/crates/node/src/control/peer.rs
+++ b/crates/node/src/control/peer.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
-use nng::options::{Options, RecvMaxSize, SendBufferSize};
+use nng::options::{LocalAddr, Options, RecvMaxSize, SendBufferSize};
 use shallothub_core::control::message;
 use shallothub_wire as wire;
 use snafu::ResultExt;
@@ -27,6 +27,9 @@
 #[derive(Debug)]
 pub(crate) struct Listener {
     socket: nng::Socket,
+    address: net::SocketAddr,
+    /// Receiving ends when this is dropped.
+    _receiving: nng::Aio,
 }
 
 impl Listener {
@@ -51,9 +54,20 @@
                 receiver.recv_async(&aio).ok();
             }
         })?;
-        socket.listen(&format!("tcp://{address}"))?;
+        let listener = nng::Listener::new(&socket, &format!("tcp://{address}"))?;
+        let address = match listener.get_opt::<LocalAddr>()? {
+            // The library gives the port in the order of the network, not of the machine.
+            nng::SocketAddr::Inet(bound) => net::SocketAddr::from((*bound.ip(), u16::from_be(bound.port()))),
+            nng::SocketAddr::Inet6(bound) => net::SocketAddr::from((*bound.ip(), u16::from_be(bound.port()))),
+            _ => address,
+        };
         socket.recv_async(&aio)?;
-        Ok(Self { socket })
+        Ok(Self { socket, address, _receiving: aio })
+    }
+
+    /// Where it listens, with the port that was given out if the settings say 0.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
     }
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -39,8 +39,11 @@
         lanes.push(sender);
         lane_words.push(receiver);
     }
-    let shared = Arc::new(shared::Shared::new(settings, metrics::Metrics::new()?, lanes, control));
-    control::start(Arc::clone(&shared), control_words)?;
+    let peers = control::peer::Listener::new(settings.peer, control.clone())?;
+    let addresses = [listener.local_addr().context(error::ListenSnafu { address })?, peers.address()];
+    tracing::info!(host = %settings.name, listen = %addresses[0], peer = %addresses[1], "listening");
+    let shared = Arc::new(shared::Shared::new(settings, addresses, metrics::Metrics::new()?, lanes, control));
+    control::start(Arc::clone(&shared), control_words, peers)?;
     for (index, words) in lane_words.into_iter().enumerate() {
         let listener = listener.try_clone().context(error::ListenSnafu { address })?;
         lane::start(Arc::clone(&shared), index, listener, words)?;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,8 +1,11 @@
 //! What the threads of a node show each other outside the way of a query.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU8, AtomicU32, Ordering},
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicU32, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -98,6 +101,10 @@
 pub struct Shared {
     /// The node's settings.
     pub settings: node::Settings,
+    /// Where callers are served, with the port that was given out if the settings say 0.
+    pub listen: net::SocketAddr,
+    /// Where other hosts are heard, likewise.
+    pub peer: net::SocketAddr,
     /// Where times are counted from.
     pub origin: time::Origin,
     /// Metrics of all threads.
@@ -118,6 +125,7 @@
     /// State of a node that starts.
     pub fn new(
         settings: node::Settings,
+        [listen, peer]: [net::SocketAddr; 2],
         metrics: metrics::Metrics,
         lanes: Vec<mpsc::UnboundedSender<ToLane>>,
         control: mpsc::UnboundedSender<ToControl>,
@@ -126,6 +134,8 @@
         lane_stats.resize_with(lanes.len(), ArcSwap::default);
         Self {
             settings,
+            listen,
+            peer,
             origin: time::Origin::new(),
             metrics,
             status: ArcSwap::default(),
