--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -95,8 +95,9 @@
             return None;
         }
         let is_full = class.queue.len() >= self.policy.queue_ceiling as usize;
-        let expected = class.expected_wait() + class.typical_run();
-        if is_full || expected + MARGIN >= patience {
+        let wait = class.expected_wait();
+        let is_long = wait > patience.scale(self.policy.queue_share.get());
+        if is_full || is_long || wait + class.slow_run() + MARGIN >= patience {
             return Some(class.retry_after());
         }
         None
@@ -137,7 +138,7 @@
             return;
         }
         let class = row.class;
-        if row.deadline <= now + self.classes[class].typical_run().scale(0.5) {
+        if row.deadline <= now + self.classes[class].typical_run() {
             let retry_after = self.classes[class].retry_after();
             self.finish_unanswered(query, event::Code::Overloaded, Some(retry_after));
             return;
--- a/crates/core/src/traffic/class.rs
+++ b/crates/core/src/traffic/class.rs
@@ -77,6 +77,11 @@
         self.runs.quantile(0.5).unwrap_or(clock::Millis(1))
     }
 
+    /// Time in which most runs end.
+    pub(crate) fn slow_run(&self) -> clock::Millis {
+        self.runs.quantile(0.9).unwrap_or(clock::Millis(1))
+    }
+
     /// Expected wait of a query that joins the queue now.
     pub(crate) fn expected_wait(&self) -> clock::Millis {
         clock::Millis(((self.queue.len() + 1) as f64 * self.interval).ceil() as u64)
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -38,6 +38,9 @@
     pub adaptive_admission: bool,
     /// Share of the deadline that a query's run may take before admission is cut. Default 0.6.
     pub latency_target: ratio::Ratio,
+    /// Share of a request's time that it may be expected to wait before it runs; one that would wait
+    /// longer is refused when it comes. Default 0.25.
+    pub queue_share: ratio::Ratio,
     /// Most queries of a class that run at once in one traffic core. Default 512.
     pub running_ceiling: u32,
     /// Most queries of a class that wait to run. Default 256.
@@ -72,6 +75,7 @@
             reported_load_weight: 0.0,
             adaptive_admission: true,
             latency_target: ratio::Ratio::try_from(0.6).unwrap_or_default(),
+            queue_share: ratio::Ratio::try_from(0.25).unwrap_or_default(),
             running_ceiling: 512,
             queue_ceiling: 256,
             pause: clock::Millis(1000),
