Let a refused shard wait for the retry budget

Ruled out: a larger budget, which is the flood that it guards against.

Change: a shard that was provably not run waits up to four backoffs for a token; one that may have run is given up at once as before.

--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -10,6 +10,8 @@
 
 /// First backoff before a shard whose replicas were all tried is asked again.
 const BACKOFF: clock::Millis = clock::Millis(5);
+/// Most times that a shard waits for the retry budget.
+const BUDGET_WAITS: u8 = 4;
 /// How long queries pick a snapshot before they start after replies were mixed.
 const ROLLING: clock::Millis = clock::Millis(10_000);
 
@@ -269,15 +271,23 @@
         let replicas = &selector.targets[part as usize].replicas;
         let has_fresh = replicas.iter().any(|&id| !state.was_tried(id) && self.view.is_open(id));
         let is_spent = state.tries >= self.policy.attempts_per_shard;
-        if is_spent || !(is_free || self.spend_retry(class)) {
+        if is_spent {
             self.fail_part(query, part);
             return;
         }
+        if !is_free && !self.spend_retry(class) {
+            self.wait_for_budget(query, part, was_not_run);
+            return;
+        }
         if has_fresh {
             self.place(query, part, query::Kind::Retry);
             return;
         }
-        let backoff = BACKOFF.0 << state.tries.min(5);
+        self.back_off(query, part, state.tries);
+    }
+
+    fn back_off(&mut self, query: id::Query, part: u32, doublings: u8) {
+        let backoff = BACKOFF.0 << doublings.min(5);
         let jitter = self.random.random_range(0..=backoff);
         if let Some(row) = self.queries.get_mut(query.0) {
             row.parts[part as usize].is_waiting = true;
@@ -285,6 +295,24 @@
         self.timers.push(self.now + clock::Millis(backoff + jitter), Timer::Retry(query, part));
     }
 
+    /// A shard whose server refused it may wait a few times for the budget to fill again; giving it
+    /// up at the first empty budget would waste what its sisters have done for the query. What may
+    /// have run already is given up at once.
+    fn wait_for_budget(&mut self, query: id::Query, part: u32, was_not_run: bool) {
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        let state = &mut row.parts[part as usize];
+        if !was_not_run || state.waits >= BUDGET_WAITS {
+            self.fail_part(query, part);
+            return;
+        }
+        state.waits += 1;
+        state.needs_budget = true;
+        let doublings = state.waits;
+        self.back_off(query, part, doublings);
+    }
+
     pub(super) fn spend_retry(&mut self, class: usize) -> bool {
         if mutant::is(mutant::Mutant::UnboundedExtra) {
             self.classes[class].retries.force();
@@ -297,8 +325,16 @@
         if !self.still_waits(server::Wait { query, part }) {
             return;
         }
-        if let Some(row) = self.queries.get_mut(query.0) {
-            row.parts[part as usize].is_waiting = false;
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        let class = row.class;
+        let state = &mut row.parts[part as usize];
+        state.is_waiting = false;
+        let needs_budget = std::mem::take(&mut state.needs_budget);
+        if needs_budget && !self.spend_retry(class) {
+            self.wait_for_budget(query, part, true);
+            return;
         }
         self.place(query, part, query::Kind::Retry);
     }
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -29,6 +29,10 @@
     pub(crate) live: [Option<id::Attempt>; LIVE],
     pub(crate) tried: [Option<id::Server>; TRIED],
     pub(crate) tries: u8,
+    /// Times that it waited for the retry budget.
+    pub(crate) waits: u8,
+    /// Whether its backoff ends with a token of the budget or in another wait.
+    pub(crate) needs_budget: bool,
     /// Waits for room at a server or for the end of a backoff.
     pub(crate) is_waiting: bool,
     pub(crate) is_failed: bool,
