Measure slopes of the cores, and the spread of configuration, in fake time

Change: a mesh of control cores with a fake platform, shared by the tests of spreading (11) and by the bench, capacity; the bench counts bytes at the allocator and fits lines.

--- /dev/null
+++ b/crates/core/benches/capacity/main.rs
@@ -0,0 +1,26 @@
+//! Slopes for `docs/CAPACITY.md`, measured on the real cores: `cargo bench -p shallothub-core
+//! --bench capacity -- FILE` writes the points to FILE, and prints the fits.
+
+mod account;
+#[expect(dead_code, unreachable_pub, reason = "the tests of spreading use the rest")]
+#[path = "../../tests/mesh/mod.rs"]
+mod mesh;
+mod points;
+mod slopes;
+
+fn main() {
+    let path = std::env::args().skip(1).find(|argument| argument != "--bench");
+    let mut points = points::Points::default();
+    slopes::leaves(&mut points);
+    slopes::parts(&mut points);
+    slopes::queries(&mut points);
+    slopes::attempts(&mut points);
+    slopes::selectors(&mut points);
+    slopes::listed_hosts(&mut points);
+    slopes::hosts(&mut points);
+    points.print();
+    if let Some(path) = path {
+        std::fs::write(&path, points.csv()).expect("the file can be written");
+        println!("written to {path}");
+    }
+}
--- /dev/null
+++ b/crates/core/benches/capacity/slopes.rs
@@ -0,0 +1,443 @@
+//! The measurements, each over two decades of its size.
+
+use std::{sync::Arc, time::Instant};
+
+use compact_str::{CompactString, format_compact};
+use indexmap::IndexMap;
+use shallothub_core::{
+    catalog, clock,
+    control::{self, message},
+    id, plan,
+    traffic::{self, event, policy},
+    view,
+};
+use shallothub_settings::document;
+use shallothub_wire::peer;
+
+use crate::{account, mesh, points::Points};
+
+/// Leaves of one service: 120 shards with two replicas each.
+const SERVICE: usize = 240;
+const LEAVES: [usize; 5] = [480, 1440, 4320, 14_400, 43_200];
+
+fn service(index: usize, leaves: usize) -> String {
+    let shards = (leaves / 2).max(1);
+    let names: Vec<String> = (0..shards).map(|shard| format!("s{shard}")).collect();
+    let mut text = format!(
+        "entry_hosts_most: 8\nservices:\n  - name: service-{index}\n    shards: [{}]\n    servers:\n",
+        names.join(", ")
+    );
+    for leaf in 0..leaves {
+        text.push_str(&format!(
+            "      - {{name: leaf-{index}-{leaf}, shards: [s{}], labels: {{role: search}}, connections: 25, slots: 2}}\n",
+            leaf % shards
+        ));
+    }
+    text
+}
+
+fn selector_text(services: usize, each: usize) -> String {
+    let mut text = "selectors:\n".to_owned();
+    for service in 0..services {
+        for kind in 0..each {
+            text.push_str(&format!(
+                "  - {{name: ask-{service}-{kind}, service: service-{service}, match: {{role: search}}, deadline_ms: 240, least_coverage: 0.9, idempotent: true, hedge: true}}\n"
+            ));
+        }
+    }
+    text
+}
+
+fn host_text(index: usize, leaves: usize) -> String {
+    let mut text = "backend_servers:\n".to_owned();
+    for leaf in 0..leaves {
+        text.push_str(&format!(
+            "  - {{name: leaf-{index}-{leaf}, data_centre: dc-{}, address: \"10.1.{}.{}:8080\", state: live, incarnation: 1}}\n",
+            leaf % 13,
+            leaf / 250,
+            leaf % 250
+        ));
+    }
+    text
+}
+
+type Parts = IndexMap<CompactString, String>;
+
+fn documents(leaves: usize) -> [Parts; 2] {
+    let services = leaves / SERVICE;
+    let mut config = Parts::new();
+    let mut listed = Parts::new();
+    for index in 0..services {
+        config.insert(format_compact!("shallothub/services/{index:04}"), service(index, SERVICE));
+        listed.insert(format_compact!("shallothub/hosts/{index:04}"), host_text(index, SERVICE));
+    }
+    for first in (0..services).step_by(60) {
+        let count = 60.min(services - first);
+        config.insert(format_compact!("shallothub/selectors/{first:04}"), shifted(first, count));
+    }
+    [config, listed]
+}
+
+fn shifted(first: usize, count: usize) -> String {
+    let mut text = "selectors:\n".to_owned();
+    for line in selector_text(first + count, 1).lines().skip(1 + first) {
+        text.push_str(line);
+        text.push('\n');
+    }
+    text
+}
+
+fn update(kind: catalog::Kind, version: u64, parts: &Parts) -> message::Message {
+    let parts = parts.iter().map(|(key, text)| message::Part {
+        key: key.clone(),
+        digest: catalog::Digest::of(text),
+        text: Some(Arc::from(text.as_str())),
+    });
+    let update = message::Update { kind, base: None, version, removed: Vec::new(), parts: parts.collect() };
+    message::Message { protocol: message::PROTOCOL, from: mesh::peer(1), body: message::Body::Catalog(update) }
+}
+
+fn control_core() -> control::Core {
+    let identity = control::Identity {
+        name: CompactString::const_new("host-0"),
+        data_centre: CompactString::const_new("dc-0"),
+        peer: mesh::peer(0),
+        seeds: vec![mesh::peer(1)],
+    };
+    control::Core::new(control::Policy::default(), identity, document::READER, 1, clock::Millis(1))
+}
+
+fn traffic_core(view: &Arc<view::View>) -> traffic::Core {
+    let lane = traffic::Lane { index: 0, count: 1 };
+    let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
+    core.step(clock::Millis(1), [event::Input::View(Arc::clone(view))]);
+    core
+}
+
+fn loaded(leaves: usize) -> (control::Core, Arc<view::View>) {
+    let [config, listed] = documents(leaves);
+    let mut core = control_core();
+    core.step(clock::Millis(2), [control::Input::Peer(update(catalog::Kind::Config, 1, &config))]);
+    core.step(clock::Millis(3), [control::Input::Peer(update(catalog::Kind::Hosts, 1, &listed))]);
+    let view = Arc::clone(core.view().expect("a view"));
+    (core, view)
+}
+
+/// Shortest time of `count` calls, in microseconds: other work on the machine only adds.
+fn shortest(count: usize, mut call: impl FnMut()) -> f64 {
+    let mut best = f64::MAX;
+    for _ in 0..count {
+        let start = Instant::now();
+        call();
+        best = best.min(start.elapsed().as_secs_f64() * 1e6);
+    }
+    best
+}
+
+/// State, start and change against the number of leaves.
+pub(crate) fn leaves(points: &mut Points) {
+    for leaves in LEAVES {
+        let [config, listed] = documents(leaves);
+        let messages = [update(catalog::Kind::Config, 1, &config), update(catalog::Kind::Hosts, 1, &listed)];
+        let bytes: usize = messages.iter().map(|message| peer::encode(message).expect("encoded").len()).sum();
+        points.add("start_bytes_by_leaf", leaves, bytes as f64);
+        let before = account::held();
+        let start = Instant::now();
+        let (core, view) = loaded(leaves);
+        points.add("start_us_by_leaf", leaves, start.elapsed().as_secs_f64() * 1e6);
+        let control = account::held() - before;
+        points.add("control_bytes_by_leaf", leaves, control as f64);
+        let before = account::held();
+        let mut traffic = traffic_core(&view);
+        points.add("traffic_bytes_by_leaf", leaves, (account::held() - before) as f64);
+        let mut next = clock::Millis(10);
+        let mut version = 1;
+        points.add(
+            "traffic_view_us_by_leaf",
+            leaves,
+            shortest(5, || {
+                version += 1;
+                let mut newer = view::View::clone(&view);
+                newer.stamp.version = version;
+                let newer = Arc::new(newer);
+                next = next + clock::Millis(1);
+                traffic.step(next, [event::Input::View(newer)]);
+            }),
+        );
+        change(points, leaves, core, listed);
+    }
+}
+
+/// One leaf is marked as leaving: one part of the list of hosts is sent as a difference.
+fn change(points: &mut Points, leaves: usize, mut core: control::Core, listed: Parts) {
+    let key = CompactString::const_new("shallothub/hosts/0000");
+    let mut texts = [listed[&key].clone(), listed[&key].clone()];
+    texts[1] = texts[1].replacen("state: live", "state: leaving", 1);
+    let mut version = 1;
+    let mut now = clock::Millis(100);
+    let mut bytes = 0;
+    let took = shortest(5, || {
+        version += 1;
+        let text = &texts[version as usize % 2];
+        let part =
+            message::Part { key: key.clone(), digest: catalog::Digest::of(text), text: Some(Arc::from(text.as_str())) };
+        let base = Some(core.stamp(catalog::Kind::Hosts));
+        let update =
+            message::Update { kind: catalog::Kind::Hosts, base, version, removed: Vec::new(), parts: vec![part] };
+        let message =
+            message::Message { protocol: message::PROTOCOL, from: mesh::peer(1), body: message::Body::Catalog(update) };
+        bytes = peer::encode(&message).expect("encoded").len();
+        now = now + clock::Millis(1);
+        core.step(now, [control::Input::Peer(message)]);
+        assert_eq!(core.stamp(catalog::Kind::Hosts).version, version);
+    });
+    points.add("change_us_by_leaf", leaves, took);
+    points.add("change_bytes_by_leaf", leaves, bytes as f64);
+    let digest = message::Message {
+        protocol: message::PROTOCOL,
+        from: mesh::peer(1),
+        body: message::Body::Digest(message::Digest {
+            stamps: [core.stamp(catalog::Kind::Config), core.stamp(catalog::Kind::Hosts)],
+            ages: [Some(clock::Millis(9999)); 2],
+            sent: Some(clock::Millis(123_456_789)),
+            echo: None,
+        }),
+    };
+    points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
+    let digests = 100;
+    let took = shortest(5, || {
+        for _ in 0..digests {
+            now = now + clock::Millis(1);
+            core.step(now, [control::Input::Peer(digest.clone())]);
+        }
+    });
+    points.add("digest_us_by_leaf", leaves, took / f64::from(digests));
+    let took = shortest(5, || {
+        for _ in 0..digests {
+            now = now + clock::Millis(1);
+            core.step(now, [control::Input::Tick]);
+        }
+    });
+    points.add("tick_us_by_leaf", leaves, took / f64::from(digests));
+}
+
+/// What one part costs by its own size.
+pub(crate) fn parts(points: &mut Points) {
+    for leaves in [10, 30, 100, 300, 1000] {
+        let text = host_text(0, leaves);
+        points.add("part_bytes_by_leaf", leaves, text.len() as f64);
+        points.add(
+            "parse_us_by_leaf",
+            leaves,
+            shortest(20, || {
+                let part = document::part("shallothub/hosts/x", &text).expect("parsed");
+                assert!(matches!(part, plan::Part::Hosts { .. }));
+            }),
+        );
+    }
+}
+
+fn ask(core: &mut traffic::Core, now: clock::Millis, caller: u64) -> Vec<event::Output> {
+    let class = CompactString::const_new("ask-0-0");
+    let request = event::Request { caller: id::Caller(caller), class, patience: None, key: None };
+    core.step(now, [event::Input::Request(request)])
+}
+
+fn one_service(leaves: usize, connections: u32) -> Arc<view::View> {
+    let (_, view) = {
+        let mut config = Parts::new();
+        let text = service(0, leaves).replace("connections: 25", &format!("connections: {connections}"));
+        config.insert(CompactString::const_new("shallothub/services/0"), text);
+        config.insert(CompactString::const_new("shallothub/selectors/0"), selector_text(1, 1));
+        let mut listed = Parts::new();
+        listed.insert(CompactString::const_new("shallothub/hosts/0"), host_text(0, leaves));
+        let mut core = control_core();
+        core.step(clock::Millis(2), [control::Input::Peer(update(catalog::Kind::Config, 1, &config))]);
+        core.step(clock::Millis(3), [control::Input::Peer(update(catalog::Kind::Hosts, 1, &listed))]);
+        let view = Arc::clone(core.view().expect("a view"));
+        (core, view)
+    };
+    view
+}
+
+/// State of queries in flight, each to 120 shards.
+pub(crate) fn queries(points: &mut Points) {
+    let view = one_service(SERVICE, 4_000_000);
+    for count in [10, 30, 100, 300, 1000] {
+        let policy =
+            policy::Policy { adaptive_admission: false, running_ceiling: u32::MAX, ..policy::Policy::default() };
+        let mut core = traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
+        core.step(clock::Millis(1), [event::Input::View(Arc::clone(&view))]);
+        let before = account::held();
+        for caller in 0..count {
+            drop(ask(&mut core, clock::Millis(2), caller as u64));
+        }
+        points.add("query_bytes_by_query", count, (account::held() - before) as f64);
+    }
+}
+
+/// Time of a whole query in the core, from request to answer, against its shards.
+pub(crate) fn attempts(points: &mut Points) {
+    for leaves in [24, 72, 240, 720, 2400] {
+        let view = one_service(leaves, 4000);
+        let mut core = traffic_core(&view);
+        let mut now = clock::Millis(2);
+        let mut caller = 0;
+        let rounds = 50;
+        let took = shortest(20, || {
+            for _ in 0..rounds {
+                caller += 1;
+                now = now + clock::Millis(1);
+                run_query(&mut core, now, caller);
+            }
+        });
+        points.add("query_us_by_attempt", leaves / 2, took / f64::from(rounds));
+    }
+}
+
+fn run_query(core: &mut traffic::Core, now: clock::Millis, caller: u64) {
+    let mut outputs = ask(core, now, caller);
+    let snapshot = view::Snapshot { epoch: 0, version: 1 };
+    let mut answered = false;
+    while !outputs.is_empty() {
+        let mut next = Vec::new();
+        for output in outputs {
+            match output {
+                event::Output::Dispatch(dispatch) => {
+                    let part = event::Part { snapshot, held: None, hits: 1, load: None };
+                    let reply = event::Reply::Answered(part);
+                    next.extend(core.step(now, [event::Input::Reply { attempt: dispatch.attempt, reply }]));
+                }
+                event::Output::Answer(answer) => answered = answer.outcome == event::Outcome::Answered,
+                _ => {}
+            }
+        }
+        outputs = next;
+    }
+    assert!(answered, "the query was answered");
+}
+
+/// State and compile time against the selectors of one service with 120 shards.
+fn compiled(count: usize) -> (f64, f64) {
+    let services = plan::Part::Services {
+        entry_hosts_most: 8,
+        services: match document::part("shallothub/services/0", &service(0, SERVICE)) {
+            Ok(plan::Part::Services { services, .. }) => services,
+            _ => Vec::new(),
+        },
+    };
+    let selectors = document::part("shallothub/selectors/0", &selector_text(1, count)).expect("parsed");
+    let mut registry = view::Registry::default();
+    let before = account::held();
+    let view = plan::compile(Default::default(), [&services, &selectors], &mut registry);
+    let bytes = (account::held() - before) as f64;
+    assert_eq!(view.classes.len(), count);
+    let took = shortest(5, || {
+        plan::compile(Default::default(), [&services, &selectors], &mut registry);
+    });
+    (bytes, took)
+}
+
+/// What a selector costs.
+pub(crate) fn selectors(points: &mut Points) {
+    for count in [4, 13, 40, 130, 400] {
+        let (bytes, took) = compiled(count);
+        points.add("view_bytes_by_selector", count, bytes);
+        points.add("compile_us_by_selector", count, took);
+    }
+}
+
+/// Spread, messages and platform calls against the number of hosts in 13 data centres. Every core
+/// holds the whole list, so the memory of the mesh grows with the square and bounds its size.
+pub(crate) fn hosts(points: &mut Points) {
+    for count in [13, 39, 130, 390, 1300] {
+        let mut mesh = mesh::Mesh::new(count, 13, &control::Policy::default(), 1);
+        mesh.measure = Some(|message| peer::encode(message).expect("encoded").len());
+        mesh.run(20_000);
+        let ready = mesh.hosts.iter().filter(|host| host.has_view).count();
+        assert_eq!(ready, count, "every host has a view");
+        points.add("start_platform_calls_by_host", count, (mesh.reads + mesh.watches) as f64);
+        let (calls, bytes) = (mesh.reads + mesh.watches, total(&mesh));
+        let start = Instant::now();
+        mesh.run(20_000);
+        let took = start.elapsed().as_secs_f64();
+        points.add("steady_platform_calls_s_by_host", count, (mesh.reads + mesh.watches - calls) as f64 / 20.0);
+        points.add("steady_bytes_s_by_host", count, (total(&mesh) - bytes) as f64 / 20.0 / count as f64);
+        points.add("steady_control_us_s_by_host", count, took * 1e6 / 20.0 / count as f64);
+        let since = mesh.now;
+        mesh.publish_config(2);
+        mesh.run(8000);
+        let mut times: Vec<u64> = mesh.times(catalog::Kind::Config, since).into_iter().flatten().collect();
+        assert_eq!(times.len(), count, "the change is in force on every host");
+        times.sort_unstable();
+        points.add("change_ms_median_by_host", count, times[count / 2] as f64);
+        points.add("change_ms_max_by_host", count, times[count - 1] as f64);
+        let before = total(&mesh);
+        let largest_before: Vec<u64> = mesh.hosts.iter().map(|host| host.sent_bytes).collect();
+        mesh.publish_hosts(&[count / 2]);
+        mesh.run(1000);
+        points.add("host_change_bytes_by_host", count, (total(&mesh) - before) as f64 / count as f64);
+        let most = mesh.hosts.iter().zip(largest_before).map(|(host, before)| host.sent_bytes - before).max();
+        points.add("host_change_bytes_most_by_host", count, most.unwrap_or(0) as f64);
+    }
+}
+
+fn total(mesh: &mesh::Mesh) -> u64 {
+    mesh.hosts.iter().map(|host| host.sent_bytes + host.received_bytes).sum()
+}
+
+/// State and time of one control core against the entry hosts in its list.
+pub(crate) fn listed_hosts(points: &mut Points) {
+    for count in [78, 260, 780, 2600, 7800] {
+        let mut config = Parts::new();
+        config.insert(CompactString::const_new("shallothub/services/0"), service(0, SERVICE));
+        config.insert(CompactString::const_new("shallothub/selectors/0"), selector_text(1, 1));
+        let mut listed = Parts::new();
+        listed.insert(CompactString::const_new("shallothub/hosts/leaves"), host_text(0, SERVICE));
+        for first in (0..count).step_by(100) {
+            let text = entry_text(first, count.min(first + 100));
+            listed.insert(format_compact!("shallothub/hosts/{first:05}"), text);
+        }
+        let before = account::held();
+        let mut core = control_core();
+        core.step(clock::Millis(2), [control::Input::Peer(update(catalog::Kind::Config, 1, &config))]);
+        core.step(clock::Millis(3), [control::Input::Peer(update(catalog::Kind::Hosts, 1, &listed))]);
+        points.add("control_bytes_by_host", count, (account::held() - before) as f64);
+        let key = CompactString::const_new("shallothub/hosts/00000");
+        let mut version = 1;
+        points.add(
+            "host_change_us_by_host",
+            count,
+            shortest(5, || {
+                version += 1;
+                let text = listed[&key].replacen("peer: \"10.0", &format!("peer: \"{version}.0"), 1);
+                let digest = catalog::Digest::of(&text);
+                let part = message::Part { key: key.clone(), digest, text: Some(Arc::from(text)) };
+                let base = Some(core.stamp(catalog::Kind::Hosts));
+                let update = message::Update {
+                    kind: catalog::Kind::Hosts,
+                    base,
+                    version,
+                    removed: Vec::new(),
+                    parts: vec![part],
+                };
+                let body = message::Body::Catalog(update);
+                let message = message::Message { protocol: message::PROTOCOL, from: mesh::peer(1), body };
+                core.step(clock::Millis(3 + version), [control::Input::Peer(message)]);
+                assert_eq!(core.stamp(catalog::Kind::Hosts).version, version);
+            }),
+        );
+    }
+}
+
+fn entry_text(first: usize, end: usize) -> String {
+    let mut text = "entry_hosts:\n".to_owned();
+    for host in first..end {
+        let peer = mesh::peer(host);
+        text.push_str(&format!(
+            "  - {{name: host-{host}, data_centre: dc-{}, peer: \"{peer}\", state: live}}\n",
+            host % 13
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/crates/core/tests/mesh/mod.rs
@@ -0,0 +1,302 @@
+//! Many control cores with a fake platform and links, in fake time: who is told what, when, and at
+//! what cost. Used by the tests of spreading and by the bench of capacity.
+
+use std::{cmp, collections::BinaryHeap, sync::Arc};
+
+use compact_str::{CompactString, format_compact};
+use indexmap::{IndexMap, IndexSet};
+use rand::{Rng, SeedableRng, rngs};
+use shallothub_core::{catalog, clock, control, view};
+use shallothub_settings::document;
+
+const TICK: clock::Millis = clock::Millis(100);
+
+enum Happening {
+    Tick(usize),
+    Input(usize, control::Input),
+}
+
+pub struct Host {
+    pub core: control::Core,
+    pub up: bool,
+    pub in_force: [view::Stamp; 2],
+    pub in_force_at: [clock::Millis; 2],
+    pub has_view: bool,
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+    pub reverts: u32,
+}
+
+struct Watch {
+    host: usize,
+    kind: catalog::Kind,
+    after: u64,
+    until: clock::Millis,
+}
+
+pub struct Mesh {
+    pub now: clock::Millis,
+    pub hosts: Vec<Host>,
+    pub data_centres: usize,
+    pub values: IndexMap<CompactString, Arc<str>>,
+    pub away: bool,
+    /// Hosts that cannot reach the platform.
+    pub cut_platform: IndexSet<usize>,
+    /// Links that are cut, one way.
+    pub cut: IndexSet<(usize, usize)>,
+    pub reads: u64,
+    pub watches: u64,
+    /// Size of a message on the wire, if it is to be counted.
+    pub measure: Option<fn(&control::message::Message) -> usize>,
+    versions: [u64; 2],
+    waiting: Vec<Watch>,
+    addresses: IndexMap<CompactString, usize>,
+    random: rngs::SmallRng,
+    heap: BinaryHeap<cmp::Reverse<(clock::Millis, u64)>>,
+    happenings: IndexMap<u64, Happening>,
+    sequence: u64,
+}
+
+pub fn peer(host: usize) -> CompactString {
+    format_compact!("10.{}.{}.{}:7000", host >> 16, (host >> 8) & 255, host & 255)
+}
+
+fn name(host: usize) -> CompactString {
+    format_compact!("host-{host}")
+}
+
+impl Mesh {
+    /// `count` hosts in `data_centres`, each started within its own first tick.
+    pub fn new(count: usize, data_centres: usize, policy: &control::Policy, seed: u64) -> Self {
+        let mut hosts = Vec::new();
+        let mut addresses = IndexMap::new();
+        for host in 0..count {
+            let identity = control::Identity {
+                name: name(host),
+                data_centre: format_compact!("dc-{}", host % data_centres),
+                peer: peer(host),
+                seeds: (0..3).map(|step| peer((host + 1 + step * 7) % count)).collect(),
+            };
+            addresses.insert(peer(host), host);
+            let core =
+                control::Core::new(policy.clone(), identity, document::READER, seed ^ host as u64, clock::Millis(1));
+            hosts.push(Host {
+                core,
+                up: true,
+                in_force: Default::default(),
+                in_force_at: Default::default(),
+                has_view: false,
+                sent_bytes: 0,
+                received_bytes: 0,
+                reverts: 0,
+            });
+        }
+        let mut mesh = Self {
+            now: clock::Millis(1),
+            hosts,
+            data_centres,
+            values: IndexMap::new(),
+            away: false,
+            cut_platform: IndexSet::new(),
+            cut: IndexSet::new(),
+            reads: 0,
+            watches: 0,
+            measure: None,
+            versions: [0; 2],
+            waiting: Vec::new(),
+            addresses,
+            random: rngs::SmallRng::seed_from_u64(seed),
+            heap: BinaryHeap::new(),
+            happenings: IndexMap::new(),
+            sequence: 0,
+        };
+        mesh.publish_config(1);
+        mesh.publish_hosts(&[]);
+        for host in 0..count {
+            mesh.after(0, 100, Happening::Tick(host));
+        }
+        mesh
+    }
+
+    fn at(&mut self, at: clock::Millis, happening: Happening) {
+        self.sequence += 1;
+        self.heap.push(cmp::Reverse((at, self.sequence)));
+        self.happenings.insert(self.sequence, happening);
+    }
+
+    fn after(&mut self, least: u64, most: u64, happening: Happening) {
+        let delay = self.random.random_range(least..=most);
+        self.at(self.now + clock::Millis(delay), happening);
+    }
+
+    pub fn run(&mut self, span: u64) {
+        let until = self.now + clock::Millis(span);
+        while let Some(&cmp::Reverse((at, sequence))) = self.heap.peek() {
+            if at > until {
+                break;
+            }
+            self.heap.pop();
+            self.now = at.max(self.now);
+            match self.happenings.swap_remove(&sequence) {
+                Some(Happening::Tick(host)) => {
+                    self.at(self.now + TICK, Happening::Tick(host));
+                    self.end_watches(Some(host));
+                    self.step(host, control::Input::Tick);
+                }
+                Some(Happening::Input(host, input)) => self.step(host, input),
+                None => continue,
+            }
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, host: usize, input: control::Input) {
+        if !self.hosts[host].up {
+            return;
+        }
+        for output in self.hosts[host].core.step(self.now, [input]) {
+            self.carry_out(host, output);
+        }
+        for kind in catalog::Kind::ALL {
+            let stamp = self.hosts[host].core.stamp(kind);
+            let row = &mut self.hosts[host];
+            let before = row.in_force[kind.index()];
+            if before != stamp {
+                row.reverts += u32::from(stamp < before);
+                row.in_force[kind.index()] = stamp;
+                row.in_force_at[kind.index()] = self.now;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, output: control::Output) {
+        match output {
+            control::Output::ReadManifest(kind) => {
+                self.reads += 1;
+                let text = self.value(host, kind.manifest_key());
+                self.after(2, 5, Happening::Input(host, control::Input::Manifest { kind, watched: false, text }));
+            }
+            control::Output::ReadPart { kind, key } => {
+                self.reads += 1;
+                let text = self.value(host, &key);
+                self.after(2, 5, Happening::Input(host, control::Input::Part { kind, key, text }));
+            }
+            control::Output::Watch { kind, after } => {
+                self.watches += 1;
+                let until = self.now + control::Policy::default().watch;
+                self.waiting.push(Watch { host, kind, after, until });
+                self.end_watches(None);
+            }
+            control::Output::Send { to, message } => self.send(host, &to, message),
+            control::Output::View(_) => self.hosts[host].has_view = true,
+            control::Output::Refused { faults, .. } => panic!("refused: {}", faults[0]),
+            control::Output::Breach(breach) => panic!("{breach:?}"),
+            control::Output::Revalidated => {}
+        }
+    }
+
+    /// Answers watches that have news or waited long enough; all of them, or those of one host.
+    fn end_watches(&mut self, host: Option<usize>) {
+        let mut index = 0;
+        while index < self.waiting.len() {
+            let watch = &self.waiting[index];
+            let is_cut = self.away || self.cut_platform.contains(&watch.host);
+            let is_news = watch.after != self.versions[watch.kind.index()];
+            let is_asked = host.is_none_or(|host| host == watch.host);
+            if !is_asked || !is_cut && !is_news && watch.until > self.now {
+                index += 1;
+                continue;
+            }
+            let watch = self.waiting.swap_remove(index);
+            let text = self.value(watch.host, watch.kind.manifest_key());
+            let input = control::Input::Manifest { kind: watch.kind, watched: true, text };
+            self.after(2, 5, Happening::Input(watch.host, input));
+        }
+    }
+
+    fn value(&self, host: usize, key: &str) -> Option<Arc<str>> {
+        if self.away || self.cut_platform.contains(&host) {
+            return None;
+        }
+        self.values.get(key).cloned()
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: control::message::Message) {
+        let Some(&host) = self.addresses.get(to) else {
+            return;
+        };
+        if let Some(measure) = self.measure {
+            let bytes = measure(&message) as u64;
+            self.hosts[from].sent_bytes += bytes;
+            self.hosts[host].received_bytes += bytes;
+        }
+        if self.cut.contains(&(from, host)) {
+            return;
+        }
+        let is_near = from % self.data_centres == host % self.data_centres;
+        let (least, most) = if is_near { (1, 2) } else { (2, 40) };
+        self.after(least, most, Happening::Input(host, control::Input::Peer(message)));
+    }
+
+    fn publish(&mut self, kind: catalog::Kind, parts: &[(CompactString, String)]) {
+        self.versions[kind.index()] += 1;
+        let mut manifest = format!("version: {}\nparts:\n", self.versions[kind.index()]);
+        for (key, text) in parts {
+            manifest.push_str(&format!("  {key}: \"{}\"\n", catalog::Digest::of(text)));
+            self.values.insert(key.clone(), Arc::from(text.as_str()));
+        }
+        self.values.insert(CompactString::from(kind.manifest_key()), Arc::from(manifest));
+        self.end_watches(None);
+    }
+
+    pub fn publish_config(&mut self, change: u64) {
+        let services = "entry_hosts_most: 8\nservices:\n  - {name: s, shards: [a], servers: [{name: x, shards: [a], connections: 25, slots: 2}]}\n";
+        let selectors = format!(
+            "# change {change}\nselectors:\n  - {{name: q, service: s, deadline_ms: 100, least_coverage: 1, idempotent: true}}\n"
+        );
+        let parts = [
+            (CompactString::const_new("shallothub/services/main"), services.to_owned()),
+            (CompactString::const_new("shallothub/selectors/main"), selectors),
+        ];
+        self.publish(catalog::Kind::Config, &parts);
+    }
+
+    /// The list of hosts in parts of 100, without the hosts in `gone`.
+    pub fn publish_hosts(&mut self, gone: &[usize]) {
+        let mut parts = Vec::new();
+        for first in (0..self.hosts.len()).step_by(100) {
+            let mut text = "entry_hosts:\n".to_owned();
+            for host in first..(first + 100).min(self.hosts.len()) {
+                let state = if gone.contains(&host) { "leaving" } else { "live" };
+                text.push_str(&format!(
+                    "  - {{name: {}, data_centre: dc-{}, peer: \"{}\", state: {state}}}\n",
+                    name(host),
+                    host % self.data_centres,
+                    peer(host)
+                ));
+            }
+            parts.push((format_compact!("shallothub/hosts/{:05}", first), text));
+        }
+        let leaf = "backend_servers:\n  - {name: x, data_centre: dc-0, address: \"10.9.9.9:1\"}\n".to_owned();
+        parts.push((CompactString::const_new("shallothub/hosts/leaves"), leaf));
+        self.publish(catalog::Kind::Hosts, &parts);
+    }
+
+    /// Time from `since` until the newest catalog was in force, for each host that is up; `None` for
+    /// those where it is not.
+    pub fn times(&self, kind: catalog::Kind, since: clock::Millis) -> Vec<Option<u64>> {
+        let version = self.versions[kind.index()];
+        let mut times = Vec::new();
+        for host in self.hosts.iter().filter(|host| host.up) {
+            let is_there = host.in_force[kind.index()].version == version;
+            times.push(is_there.then(|| host.in_force_at[kind.index()].since(since).0));
+        }
+        times
+    }
+
+    /// The slowest of [`Self::times`]; panics if a host does not have it.
+    pub fn slowest(&self, kind: catalog::Kind, since: clock::Millis) -> u64 {
+        let times = self.times(kind, since);
+        times.into_iter().map(|time| time.expect("in force")).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/spread.rs
@@ -0,0 +1,177 @@
+//! How configuration reaches every host, and what the platform pays for it; in fake time.
+
+#[expect(unreachable_pub, reason = "a module of this test alone")]
+mod mesh;
+
+use mesh::Mesh;
+use rstest::rstest;
+use shallothub_core::{catalog, clock, control};
+
+/// Time after which every host must have a change while the platform is up, in ms.
+const CHANGE_MOST: u64 = 2000;
+
+fn mesh(count: usize, data_centres: usize) -> Mesh {
+    let mut mesh = Mesh::new(count, data_centres, &control::Policy::default(), 1);
+    mesh.run(10_000);
+    assert!(mesh.hosts.iter().all(|host| host.has_view), "every host has a view after the start");
+    mesh
+}
+
+/// All eight hosts of an organisation start at once, such as after a power cut. Each needs a view,
+/// but the platform must not get eight times every read: who starts first tells the others.
+#[test]
+fn a_cold_start_of_all_hosts_stays_within_the_platform_budget() {
+    let mut mesh = Mesh::new(8, 4, &control::Policy::default(), 1);
+    mesh.run(3000);
+    assert!(mesh.hosts.iter().all(|host| host.has_view));
+    // Each watcher reads two manifests and four parts at most, and then waits with two watches.
+    let calls = mesh.reads + mesh.watches;
+    assert!(calls <= 64, "{} reads and {} watches", mesh.reads, mesh.watches);
+}
+
+/// Nothing changes for a minute. Only the watchers, one for each data centre, call the platform, and
+/// each of their two watches waits for ten seconds.
+#[test]
+fn the_steady_state_costs_two_watches_a_data_centre() {
+    let mut mesh = mesh(8, 4);
+    let (reads, watches) = (mesh.reads, mesh.watches);
+    mesh.run(60_000);
+    assert_eq!(mesh.reads - reads, 0);
+    assert!(mesh.watches - watches <= 4 * 2 * 7, "{} watches", mesh.watches - watches);
+}
+
+/// An operator publishes a change. It is in force on every host within two seconds, and only the
+/// watchers read it.
+#[rstest]
+#[case::organisation(8, 4)]
+#[case::one_data_centre(8, 1)]
+#[case::larger(200, 13)]
+fn a_change_is_in_force_everywhere_in_time(#[case] count: usize, #[case] data_centres: usize) {
+    let mut mesh = mesh(count, data_centres);
+    for change in 2..12 {
+        let (reads, since) = (mesh.reads, mesh.now);
+        mesh.publish_config(change);
+        mesh.run(3000);
+        let slowest = mesh.slowest(catalog::Kind::Config, since);
+        assert!(slowest <= CHANGE_MOST, "change {change} took {slowest} ms");
+        assert!(mesh.reads - reads <= 2 * data_centres as u64, "{} reads", mesh.reads - reads);
+    }
+}
+
+/// Some hosts cannot reach the platform, the watcher of their data centre among them, but each
+/// reaches a host of another data centre. They have a change within two seconds too, by the digests.
+#[test]
+fn a_change_reaches_hosts_that_only_reach_a_peer() {
+    let mut mesh = mesh(8, 4);
+    for host in 0..8 {
+        if host % 4 < 2 {
+            mesh.cut_platform.insert(host);
+        }
+    }
+    for change in 2..8 {
+        let since = mesh.now;
+        mesh.publish_config(change);
+        mesh.run(4000);
+        let slowest = mesh.slowest(catalog::Kind::Config, since);
+        assert!(slowest <= CHANGE_MOST, "change {change} took {slowest} ms");
+    }
+}
+
+/// A backend server is marked as leaving, and the platform goes away right after one watcher has
+/// read the list. The mark is in force on every host within the three seconds that are promised.
+#[test]
+fn a_leaving_mark_spreads_although_the_platform_goes_away() {
+    let mut mesh = mesh(8, 4);
+    let since = mesh.now;
+    for host in 1..8 {
+        mesh.cut_platform.insert(host);
+    }
+    for host in 0..8 {
+        // Whoever watches in the first host's data centre still reads.
+        if host % 4 == 0 {
+            mesh.cut_platform.swap_remove(&host);
+        }
+    }
+    mesh.publish_hosts(&[7]);
+    mesh.run(50);
+    mesh.away = true;
+    mesh.run(4000);
+    let slowest = mesh.slowest(catalog::Kind::Hosts, since);
+    assert!(slowest <= 3000, "{slowest} ms");
+}
+
+/// The hosts are parted into two halves for a minute while operators go on publishing; the platform
+/// is on one side. The other side keeps what it had, nobody ever goes back, and after the healing
+/// all agree again within two seconds.
+#[test]
+fn a_partition_reverts_nothing_and_heals() {
+    let mut mesh = mesh(8, 4);
+    let is_west = |host: usize| host % 4 >= 2;
+    for from in 0..8 {
+        for to in 0..8 {
+            if is_west(from) != is_west(to) {
+                mesh.cut.insert((from, to));
+            }
+        }
+        if is_west(from) {
+            mesh.cut_platform.insert(from);
+        }
+    }
+    for change in 2..8 {
+        mesh.publish_config(change);
+        mesh.run(10_000);
+    }
+    let behind = mesh.times(catalog::Kind::Config, clock::Millis::ZERO).into_iter().filter(Option::is_none).count();
+    assert_eq!(behind, 4, "the west cannot know");
+    let since = mesh.now;
+    mesh.cut.clear();
+    mesh.cut_platform.clear();
+    mesh.run(3000);
+    assert!(mesh.slowest(catalog::Kind::Config, since) <= CHANGE_MOST);
+    assert!(mesh.hosts.iter().all(|host| host.reverts == 0));
+}
+
+/// The watcher of a data centre is killed and the list of hosts, which lags, still names it. The
+/// others learn of a change from the other data centres meanwhile.
+#[test]
+fn a_dead_watcher_does_not_hold_a_change_up() {
+    let mut mesh = mesh(8, 4);
+    for host in 0..8 {
+        if mesh.hosts[host].core.is_watcher() && host % 4 == 1 {
+            mesh.hosts[host].up = false;
+        }
+    }
+    let since = mesh.now;
+    mesh.publish_config(2);
+    mesh.run(4000);
+    let slowest = mesh.slowest(catalog::Kind::Config, since);
+    assert!(slowest <= CHANGE_MOST, "{slowest} ms");
+}
+
+/// The checks above can fail: without digests, a host that cannot reach the platform never learns of
+/// a change whose watcher was cut off.
+#[test]
+fn without_digests_a_change_does_not_reach_everyone() {
+    let policy = control::Policy { gossip: clock::Millis(3_600_000), ..control::Policy::default() };
+    let mut mesh = Mesh::new(8, 4, &policy, 1);
+    mesh.run(10_000);
+    for host in (0..8).filter(|host| host % 4 < 2) {
+        mesh.cut_platform.insert(host);
+        mesh.cut.extend((0..8).filter(|other| other % 4 >= 2).map(|other| (other, host)));
+    }
+    mesh.cut.retain(|(_, to)| *to != 0);
+    mesh.publish_config(2);
+    mesh.run(4000);
+    assert!(mesh.times(catalog::Kind::Config, clock::Millis::ZERO).contains(&None));
+}
+
+/// And if every host watched, the steady state would cost the platform twice as much.
+#[test]
+fn if_every_host_watches_the_platform_pays_for_it() {
+    let policy = control::Policy { watchers: 8, ..control::Policy::default() };
+    let mut mesh = Mesh::new(8, 4, &policy, 1);
+    mesh.run(10_000);
+    let watches = mesh.watches;
+    mesh.run(60_000);
+    assert!(mesh.watches - watches > 4 * 2 * 7);
+}
