Make a reply cost the same however many shards its query has

Each reply asked whether any shard is pending, and scanned the shards that had replied already to find out.

Change: the look starts at the shard that was pending last and goes on from there.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -60,6 +60,7 @@
             groups: Vec::new(),
             want: None,
             failed: 0,
+            pending_hint: 0,
             may_have_run: false,
             restarts: 0,
             saw_epoch: None,
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -242,7 +242,7 @@
         if row.groups.len() > 1 && self.policy.reask {
             self.reask(query);
         }
-        let Some(row) = self.queries.get(query.0) else {
+        let Some(row) = self.queries.get_mut(query.0) else {
             return;
         };
         if row.is_pending() {
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -107,6 +107,8 @@
     pub(crate) groups: Vec<Group>,
     pub(crate) want: Option<view::Snapshot>,
     pub(crate) failed: usize,
+    /// A shard that was pending when last looked at.
+    pub(crate) pending_hint: usize,
     /// Whether any attempt may have run.
     pub(crate) may_have_run: bool,
     pub(crate) restarts: u8,
@@ -124,8 +126,16 @@
         self.groups.iter().max_by_key(|group| (group.shards, group.snapshot)).copied()
     }
 
-    pub(crate) fn is_pending(&self) -> bool {
-        self.parts.iter().any(Part::is_pending)
+    /// Whether any shard is being asked. Starts at the shard that was pending last time, so that the
+    /// replies of a query cost the same however many shards it has.
+    pub(crate) fn is_pending(&mut self) -> bool {
+        for _ in 0..self.parts.len() {
+            if self.parts.get(self.pending_hint).is_some_and(Part::is_pending) {
+                return true;
+            }
+            self.pending_hint = (self.pending_hint + 1) % self.parts.len();
+        }
+        false
     }
 
     /// Files a reply under its snapshot; a shard counts once in each group.
