--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -86,10 +86,13 @@
         match word {
             shared::ToControl::Input(input) => inputs.push(input),
             shared::ToControl::Revalidate => inputs.push(control::Input::Revalidate),
-            shared::ToControl::Peer(bytes) => match wire::peer::decode(&bytes) {
-                Ok(message) => inputs.push(control::Input::Peer(message)),
-                Err(error) => tracing::debug!(detail = %error, "dropped a message of another host"),
-            },
+            shared::ToControl::Peer(bytes) => {
+                self.shared.metrics.peer_bytes.with_label_values(&["received"]).inc_by(bytes.len() as u64);
+                match wire::peer::decode(&bytes) {
+                    Ok(message) => inputs.push(control::Input::Peer(message)),
+                    Err(error) => tracing::debug!(detail = %error, "dropped a message of another host"),
+                }
+            }
             shared::ToControl::Explain(selector, reply) => {
                 // The asker may have gone; then nobody needs the answer.
                 reply.send(self.core.explain(&selector)).ok();
@@ -102,7 +105,10 @@
             control::Output::ReadManifest(kind) => self.read_manifest(kind),
             control::Output::Watch { kind, after } => self.watch(kind, after),
             control::Output::ReadPart { kind, key } => self.read_part(kind, key),
-            control::Output::Send { to, message } => self.senders.send(&to, &message),
+            control::Output::Send { to, message } => {
+                let bytes = self.senders.send(&to, &message);
+                self.shared.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(bytes as u64);
+            }
             control::Output::View(view) => {
                 tracing::info!(stamp = %view.stamp, hosts = %view.hosts_revision, "a view is in force");
                 for lane in &self.shared.lanes {
--- a/crates/node/src/control/peer.rs
+++ b/crates/node/src/control/peer.rs
@@ -84,21 +84,23 @@
 }
 
 impl Senders {
-    /// Sends, or drops the message if the host cannot be reached or is behind.
-    pub(crate) fn send(&mut self, to: &CompactString, message: &message::Message) {
+    /// Sends, or drops the message if the host cannot be reached or is behind. The bytes sent.
+    pub(crate) fn send(&mut self, to: &CompactString, message: &message::Message) -> usize {
         let bytes = match wire::peer::encode(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(detail = %error, "a message was not sent");
-                return;
+                return 0;
             }
         };
         let Some(socket) = self.socket(to) else {
-            return;
+            return 0;
         };
         if let Err((_, error)) = socket.try_send(bytes.as_slice()) {
             tracing::debug!(to = %to, detail = %error, "a message was dropped");
+            return 0;
         }
+        bytes.len()
     }
 
     fn socket(&mut self, to: &CompactString) -> Option<&nng::Socket> {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,8 @@
     pub lane: IntGaugeVec,
     /// Counters of the control core, by name.
     pub control: IntGaugeVec,
+    /// Bytes of messages between hosts, by direction.
+    pub peer_bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -60,6 +62,10 @@
             breaches: IntCounterVec::new(Opts::new("shallothub_breaches", "Promises that did not hold"), &["promise"])?,
             lane: IntGaugeVec::new(Opts::new("shallothub_lane", "Counters and sizes of a lane"), &["lane", "name"])?,
             control: IntGaugeVec::new(Opts::new("shallothub_control", "Counters of control"), &["name"])?,
+            peer_bytes: IntCounterVec::new(
+                Opts::new("shallothub_peer_bytes", "Bytes of messages between hosts"),
+                &["direction"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.query_ms.clone()))?;
         metrics.registry.register(Box::new(metrics.coverage.clone()))?;
@@ -68,6 +74,7 @@
         metrics.registry.register(Box::new(metrics.breaches.clone()))?;
         metrics.registry.register(Box::new(metrics.lane.clone()))?;
         metrics.registry.register(Box::new(metrics.control.clone()))?;
+        metrics.registry.register(Box::new(metrics.peer_bytes.clone()))?;
         for name in invariant::Name::ALL {
             metrics.breaches.with_label_values(&[name.as_str()]).inc_by(0);
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -92,6 +92,41 @@
         fleet
     }
 
+    /// One node, and one service `wide` with a leaf for each of `shards` shards, which answer at once.
+    pub async fn start_wide(test: &str, shards: u32) -> Self {
+        let mut fleet = Self::start(test, 0).await;
+        let wide = publish::Service {
+            name: CompactString::const_new("wide"),
+            epoch: 1,
+            shards,
+            replicas: 1,
+            connections: 100,
+            slots: 50,
+        };
+        for name in wide.servers() {
+            fleet.start_leaf(&name, &wide).await;
+            fleet.leaf(&name).set(|knobs| knobs.latency_ms = 0);
+        }
+        fleet.start_node();
+        let selector =
+            "selectors:\n  - {name: wide, service: wide, deadline_ms: 2000, least_coverage: 1, idempotent: true}\n";
+        let parts = [
+            (CompactString::const_new("shallothub/services/wide"), wide.document(1)),
+            (CompactString::const_new("shallothub/selectors/wide"), selector.to_owned()),
+        ];
+        fleet.versions[0] += 1;
+        fleet.platform.publish(catalog::Kind::Config, fleet.versions[0], &parts);
+        fleet.publish_hosts();
+        fleet.wait_ready(0).await;
+        fleet
+    }
+
+    /// Addresses of the leaves whose name begins with `prefix`.
+    pub fn addresses(&self, prefix: &str) -> Vec<net::SocketAddr> {
+        let listed = self.listed.iter().filter(|listed| listed.name.starts_with(prefix));
+        listed.map(|listed| listed.address.parse().expect("an address")).collect()
+    }
+
     async fn start_leaf(&mut self, name: &CompactString, service: &publish::Service) {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -229,6 +264,11 @@
         }
     }
 
+    /// Process id of a node.
+    pub fn pid(&self, node: usize) -> u32 {
+        self.nodes[node].child.id()
+    }
+
     /// Asks on a new connection.
     pub async fn ask(&self, node: usize, class: &str, key: Option<&str>) -> Got {
         ask(self.nodes[node].listen, class, key).await
