--- /dev/null
+++ b/tests/capacity_page.rs
@@ -0,0 +1,118 @@
+//! `docs/CAPACITY.md` and the data files beside it say the same.
+
+use std::{collections::BTreeMap, fs, path};
+
+fn read(name: &str) -> String {
+    let path = path::Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
+    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+/// Rows of a page's tables by their first cell.
+fn rows(page: &str) -> BTreeMap<&str, Vec<&str>> {
+    let mut rows = BTreeMap::new();
+    for line in page.lines() {
+        let cells: Vec<&str> = line.trim_matches('|').split('|').map(str::trim).collect();
+        if line.starts_with('|') && cells.len() > 1 {
+            rows.insert(cells[0], cells[1..].to_vec());
+        }
+    }
+    rows
+}
+
+struct Data {
+    fits: BTreeMap<String, Vec<String>>,
+    points: BTreeMap<(String, u32), f64>,
+}
+
+fn data() -> Data {
+    let mut data = Data { fits: BTreeMap::new(), points: BTreeMap::new() };
+    let text = read("docs/data/capacity.csv") + &read("docs/data/processes.csv");
+    for line in text.lines() {
+        let cells: Vec<&str> = line.split(',').collect();
+        match cells.as_slice() {
+            ["series" | "fit", ..] => continue,
+            [name, size, value] => {
+                data.points
+                    .insert(((*name).to_owned(), size.parse().expect("a size")), value.parse().expect("a value"));
+            }
+            [name, fit @ ..] => {
+                data.fits.insert((*name).to_owned(), fit.iter().map(|cell| (*cell).to_owned()).collect());
+            }
+            [] => continue,
+        }
+    }
+    data
+}
+
+impl Data {
+    fn at(&self, name: &str, size: f64) -> f64 {
+        let number = |index: usize| self.fits[name][index].parse::<f64>().expect("a number");
+        number(0) + number(1) * size
+    }
+}
+
+#[test]
+fn the_slopes_on_the_page_are_those_of_the_data() {
+    let page = read("docs/CAPACITY.md");
+    let rows = rows(&page);
+    let data = data();
+    assert!(data.fits.len() >= 20);
+    for (name, fit) in &data.fits {
+        assert_eq!(rows.get(name.as_str()), Some(&fit.iter().map(String::as_str).collect()), "{name}");
+    }
+}
+
+#[test]
+fn the_processes_on_the_page_are_those_of_the_data() {
+    let page = read("docs/CAPACITY.md");
+    let rows = rows(&page);
+    let data = data();
+    for name in ["calls_s_by_node", "bytes_s_each_by_node", "resident_kib_each_by_node", "change_ms_max_by_node"] {
+        for (column, count) in [4, 8, 16, 32, 64].into_iter().enumerate() {
+            let value = format!("{:.3}", data.points[&(name.to_owned(), count)]);
+            assert_eq!(rows[name][column], value, "{name} at {count}");
+        }
+    }
+}
+
+/// Works the derived figures out again from the data by the formulas that the page gives.
+#[test]
+fn the_derived_figures_follow_from_the_data() {
+    let page = read("docs/CAPACITY.md");
+    let rows = rows(&page);
+    let data = data();
+    let (leafs, nodes, queries) = (43_000.0, 7800.0, 1.4e6);
+    let rate = (8000.0 + 2.0 * (150.0 + 11_000.0)) / 86_400.0;
+    let idle = data.points[&("resident_kib_each_by_node".to_owned(), 64)] * 1024.0;
+    let in_flight = queries / nodes * 0.24;
+    let control = data.at("control_bytes_by_leaf", leafs) + data.at("control_bytes_by_host", nodes);
+    let traffic = data.at("traffic_bytes_by_leaf", leafs);
+    let memory = control + traffic + data.at("query_bytes_by_query", in_flight) + idle;
+    let busy = rate * (data.at("change_us_by_leaf", leafs) + data.at("traffic_view_us_by_leaf", leafs)) / 1e4
+        + data.points[&("core_percent_each_by_node".to_owned(), 64)];
+    let steady = data.at("steady_bytes_s_by_host", nodes);
+    let part = data.at("part_bytes_by_leaf", 32.0);
+    let manifest = rate * (leafs / 32.0 + 78.0) * 45.0;
+    let expected = [
+        ("changes a second", format!("{rate:.3}")),
+        ("control state, MB", format!("{:.1}", control / 1e6)),
+        ("traffic rows a lane, MB", format!("{:.1}", traffic / 1e6)),
+        ("memory of a node, MB", format!("{:.1}", memory / 1e6)),
+        ("control, % of a core", format!("{busy:.2}")),
+        ("steady bytes a second", format!("{steady:.0}")),
+        (
+            "inner node, parts of 240, bytes a second",
+            format!("{:.0}", steady + rate * 9.0 * data.at("change_bytes_by_leaf", leafs)),
+        ),
+        ("inner node, parts of 32, bytes a second", format!("{:.0}", steady + rate * 9.0 * part)),
+        ("watcher, manifest of parts of 32, bytes a second", format!("{manifest:.0}")),
+        ("root, parts of 32, bytes a second", format!("{:.0}", steady + rate * 21.0 * part + manifest)),
+        ("time to start, s", format!("{:.2}", data.at("start_us_by_leaf", leafs) / 1e6)),
+        ("bytes to start, MB", format!("{:.2}", data.at("start_bytes_by_leaf", leafs) / 1e6)),
+        ("searches a second a leaf", format!("{:.0}", queries * 120.0 / leafs)),
+        ("leaf connections a node, leafs accept 25", format!("{:.0}", leafs * 25.0 / nodes)),
+    ];
+    for (name, value) in expected {
+        assert_eq!(rows[name].last(), Some(&value.as_str()), "{name}");
+    }
+}
