Send nothing that expired, and nothing on an old view, after a pause

The guard held back only queries that were to start; a retry that was due before its query's deadline was popped before it and sent.

Ruled out: that the grace was over or the peers were silent: the dispatch came at the instant of waking, and the news 1 ms later.

Change: on a pause every query whose deadline passed ends first, and nothing is sent, by queues, retries or hedges either, until control confirmed the view or the grace is over.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -149,7 +149,7 @@
             self.finish_unanswered(query, event::Code::Overloaded, Some(retry_after));
             return;
         }
-        if self.paused_at.is_some() {
+        if self.is_holding {
             self.held.push(query);
             return;
         }
@@ -196,8 +196,12 @@
         }
     }
 
-    /// Repeatable work that was held after a pause goes on.
-    pub(super) fn resume_repeatable(&mut self) {
+    /// Work that was held after a pause goes on; without a confirmation only what may be repeated.
+    pub(super) fn resume(&mut self) {
+        self.is_holding = false;
+        for server in 0..self.servers.len() {
+            self.pump(id::Server(server as u32));
+        }
         let is_confirmed = self.paused_at.is_none();
         for query in std::mem::take(&mut self.held) {
             let Some(row) = self.queries.get(query.0) else {
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -22,7 +22,7 @@
             self.fail_part(query, part);
             return;
         };
-        if self.servers[server.index()].has_room(self.now) {
+        if self.has_room(server) {
             self.send(query, part, server, kind);
             return;
         }
@@ -33,6 +33,11 @@
         self.wait_at(query, part, server);
     }
 
+    /// Whether an attempt may be sent to `server` now.
+    pub(super) fn has_room(&self, server: id::Server) -> bool {
+        !self.is_holding && self.servers[server.index()].has_room(self.now)
+    }
+
     fn wait_at(&mut self, query: id::Query, part: u32, server: id::Server) {
         let Some(row) = self.queries.get_mut(query.0) else {
             return;
@@ -209,7 +214,7 @@
             self.requeue(server);
             return;
         }
-        while self.servers[server.index()].has_room(self.now) {
+        while self.has_room(server) {
             let state = &mut self.servers[server.index()];
             let Some(wait) = state.waiting.iter_mut().find_map(|queue| queue.pop_front()) else {
                 return;
@@ -404,8 +409,7 @@
         if row.parts[part as usize].was_tried(server) {
             return true;
         }
-        let state = &self.servers[server.index()];
-        if !state.has_room(self.now) || state.waiting_len() > 0 {
+        if !self.has_room(server) || self.servers[server.index()].waiting_len() > 0 {
             return false;
         }
         if !self.classes[class].hedges.spend() {
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -274,7 +274,7 @@
             let Some(server) = self.reask_server(query, part, target) else {
                 continue;
             };
-            if !self.servers[server.index()].has_room(self.now) {
+            if !self.has_room(server) {
                 continue;
             }
             if !self.spend_retry(class) {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -68,6 +68,8 @@
     ejected: usize,
     /// Set from a pause until control confirmed the view.
     paused_at: Option<clock::Millis>,
+    /// Set from a pause until its grace is over or control confirmed the view: nothing is sent.
+    is_holding: bool,
     held: Vec<id::Query>,
     outputs: Vec<Output>,
     stats: summary::Stats,
@@ -92,6 +94,7 @@
             keys: key::Memory::default(),
             ejected: 0,
             paused_at: None,
+            is_holding: false,
             held: Vec::new(),
             outputs: Vec::new(),
             stats: summary::Stats::default(),
@@ -101,8 +104,11 @@
 
     /// Runs the systems once. `now` must not be earlier than in the step before.
     pub fn step(&mut self, now: clock::Millis, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
-        self.guard_pause(now);
+        let is_pause = self.is_pause(now);
         self.now = now.max(self.now);
+        if is_pause {
+            self.on_pause();
+        }
         let mut inputs = inputs.into_iter().peekable();
         // A view goes before the timers: a hedge or retry that is due in this very step would
         // otherwise still go by the old view, to a server whose leaving mark is in the new one.
@@ -149,19 +155,29 @@
         self.classes.values().map(|row| (row.name.as_str(), row.running, row.limit(), row.queue.len()))
     }
 
-    /// A gap between steps means that the process was stopped. What expired meanwhile is answered
-    /// as not run by the timers, which run before any input; and nothing is dispatched on the old
-    /// view until control confirmed it or the grace is over.
-    fn guard_pause(&mut self, now: clock::Millis) {
-        if now.since(self.now) < self.policy.pause || mutant::is(mutant::Mutant::IgnorePause) {
-            return;
+    /// A gap between steps means that the process was stopped.
+    fn is_pause(&self, now: clock::Millis) -> bool {
+        let has_view = self.view.stamp != view::Stamp::default();
+        has_view && now.since(self.now) >= self.policy.pause && !mutant::is(mutant::Mutant::IgnorePause)
+    }
+
+    /// What expired meanwhile ends first, before a retry or hedge that was due earlier than the
+    /// deadline could still send it. Nothing at all is sent on the old view until control confirmed
+    /// it or the grace is over.
+    fn on_pause(&mut self) {
+        self.stats.pauses += 1;
+        self.paused_at = Some(self.now);
+        self.is_holding = true;
+        let mut expired = Vec::new();
+        for (key, query) in self.queries.iter() {
+            if query.deadline <= self.now {
+                expired.push(id::Query(key));
+            }
         }
-        if self.view.stamp == view::Stamp::default() {
-            return;
+        for query in expired {
+            self.on_deadline(query);
         }
-        self.stats.pauses += 1;
-        self.paused_at = Some(now);
-        self.timers.push(now + self.policy.revalidate_grace, Timer::Resume);
+        self.timers.push(self.now + self.policy.revalidate_grace, Timer::Resume);
         self.outputs.push(Output::Revalidate);
     }
 
@@ -173,7 +189,7 @@
                 Timer::Hedge(query) => self.hedge(query),
                 Timer::Retry(query, part) => self.on_backoff_end(query, part),
                 Timer::Pump(server) => self.pump(server),
-                Timer::Resume => self.resume_repeatable(),
+                Timer::Resume => self.resume(),
             }
         }
     }
@@ -235,7 +251,7 @@
 
     fn on_revalidated(&mut self) {
         self.paused_at = None;
-        self.resume_repeatable();
+        self.resume();
     }
 
     fn breach(&mut self, name: invariant::Name, detail: String) {
--- a/crates/core/tests/driver/world.rs
+++ b/crates/core/tests/driver/world.rs
@@ -338,8 +338,13 @@
             let view = self.hosts[host].traffic.view();
             let seen = view.servers.iter().flatten().find(|server| server.name == row.name);
             let detail = format!(
-                "host {host} to {} at {}, marked at {:?}, known {is_known}, incarnation {}, in view {seen:?} of {}",
-                row.name, self.now, row.marked_at, row.incarnation, view.hosts_revision
+                "host {host} to {} at {}, frozen until {:?}, marked at {:?}, known {is_known}, incarnation {}, in view {seen:?} of {}",
+                row.name,
+                self.now,
+                self.hosts.iter().map(|host| host.frozen_until.0).collect::<Vec<_>>(),
+                row.marked_at,
+                row.incarnation,
+                view.hosts_revision
             );
             self.judge.breach("no_work_to_leaving", detail);
         }
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -85,3 +85,29 @@
     // The leaf was left out for up to 32 s after its failures, but with no other to ask it is asked.
     assert!(answered > 350, "{answered} of 400 were answered");
 }
+
+/// An editor's check waits for a backoff after its leaf refused it, and just then the host is stopped
+/// for five seconds. On waking, the backoff is over before the deadline is looked at, so the check,
+/// which nobody waits for any more, was sent, on a view in which its leaf may long have left.
+#[test]
+fn a_host_that_wakes_sends_nothing_that_expired() {
+    let lane = traffic::Lane { index: 0, count: 1 };
+    let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
+    core.step(clock::Millis(1), [event::Input::View(view())]);
+    let class = CompactString::const_new("ask");
+    let request = event::Request { caller: id::Caller(1), class, patience: None, key: None };
+    let outputs = core.step(clock::Millis(2), [event::Input::Request(request)]);
+    let attempt = outputs.iter().find_map(|output| match output {
+        event::Output::Dispatch(dispatch) => Some(dispatch.attempt),
+        _ => None,
+    });
+    let reply = event::Reply::Refused { retry_after: None };
+    core.step(clock::Millis(4), [event::Input::Reply { attempt: attempt.expect("sent"), reply }]);
+    let outputs = core.step(clock::Millis(5000), [event::Input::Tick]);
+    let sent = outputs.iter().filter(|output| matches!(output, event::Output::Dispatch(_))).count();
+    let told = outputs
+        .iter()
+        .any(|output| matches!(output, event::Output::Answer(answer) if answer.outcome == event::Outcome::NotRun));
+    assert!(outputs.iter().any(|output| matches!(output, event::Output::Revalidate)));
+    assert_eq!((sent, told), (0, true), "{outputs:?}");
+}
