Hold the queue after a pause, and tell a full memory of keys from a known key

Cause: reading: after a pause the whole admission queue moved into a list and started at once when it ended, past the class's limit; and a request that came while the memory of keys was full was told that its key ran.

Change: while holding, the queue stays where it is; a claim has three ends.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -6,7 +6,7 @@
 
 use crate::{clock, id, mutant, view};
 
-use super::{class, event, query, timer::Timer};
+use super::{class, event, key, query, timer::Timer};
 
 /// Time that an answer needs on its way back to the caller; no attempt is given the very end.
 const MARGIN: clock::Millis = clock::Millis(2);
@@ -38,9 +38,19 @@
             self.refuse(&request, event::Code::Overloaded, Some(retry_after));
             return;
         }
-        if !idempotent && !self.claim(&request) {
-            self.refuse_duplicate(&request);
-            return;
+        if !idempotent {
+            match self.claim(&request) {
+                key::Claim::Granted => {}
+                key::Claim::Known => {
+                    self.refuse_duplicate(&request);
+                    return;
+                }
+                key::Claim::Full => {
+                    let retry_after = self.policy.key_window;
+                    self.refuse(&request, event::Code::Overloaded, Some(retry_after));
+                    return;
+                }
+            }
         }
         let deadline = self.now + patience - MARGIN;
         self.enqueue(request, row, selector, deadline);
@@ -105,12 +115,12 @@
         None
     }
 
-    fn claim(&mut self, request: &event::Request) -> bool {
+    fn claim(&mut self, request: &event::Request) -> key::Claim {
         let Some(key) = &request.key else {
-            return true;
+            return key::Claim::Granted;
         };
         if mutant::is(mutant::Mutant::ForgetKeys) {
-            return true;
+            return key::Claim::Granted;
         }
         self.keys.claim(key, self.now, self.policy.key_ceiling)
     }
@@ -123,7 +133,7 @@
     }
 
     fn admit_class(&mut self, class: usize) {
-        while self.classes[class].has_room(&self.policy) {
+        while !self.is_holding && self.classes[class].has_room(&self.policy) {
             let Some(query) = self.classes[class].queue.pop_front() else {
                 return;
             };
@@ -149,8 +159,8 @@
             self.finish_unanswered(query, event::Code::Overloaded, Some(retry_after));
             return;
         }
-        if self.is_holding {
-            self.held.push(query);
+        if !row.selector().idempotent && self.is_unconfirmed() {
+            self.finish_unanswered(query, event::Code::Revalidating, Some(self.policy.revalidate_grace));
             return;
         }
         self.classes[class].running += 1;
@@ -196,25 +206,12 @@
         }
     }
 
-    /// Work that was held after a pause goes on; without a confirmation only what may be repeated.
+    /// The time after a pause in which nothing is sent is over.
     pub(super) fn resume(&mut self) {
         self.is_holding = false;
         for server in 0..self.servers.len() {
             self.pump(id::Server(server as u32));
         }
-        let is_confirmed = self.paused_at.is_none();
-        for query in std::mem::take(&mut self.held) {
-            let Some(row) = self.queries.get(query.0) else {
-                continue;
-            };
-            if !is_confirmed && !row.selector().idempotent {
-                self.finish_unanswered(query, event::Code::Revalidating, Some(self.policy.revalidate_grace));
-                continue;
-            }
-            let class = row.class;
-            self.classes[class].running += 1;
-            self.begin(query);
-        }
     }
 
     /// Whether the view has not been confirmed since a pause.
--- a/crates/core/src/traffic/key.rs
+++ b/crates/core/src/traffic/key.rs
@@ -16,6 +16,17 @@
     Ran { until: clock::Millis },
 }
 
+/// What comes of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// The request may run.
+    Granted,
+    /// A request with this key runs, or ran within the window.
+    Known,
+    /// No more keys can be remembered, so running it could not be kept to once.
+    Full,
+}
+
 /// Keys that run or ran, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct Memory {
@@ -23,22 +34,22 @@
 }
 
 impl Memory {
-    /// Claims `key`; `false` if it runs or ran within the window.
-    pub(crate) fn claim(&mut self, key: &CompactString, now: clock::Millis, ceiling: usize) -> bool {
+    /// Claims `key` for a request.
+    pub(crate) fn claim(&mut self, key: &CompactString, now: clock::Millis, ceiling: usize) -> Claim {
         if let Some(state) = self.keys.get(key) {
             match *state {
                 State::Ran { until } if until <= now => {}
-                _ => return false,
+                _ => return Claim::Known,
             }
         }
         if self.keys.len() >= ceiling {
             self.keys.retain(|_, state| !matches!(state, State::Ran { until } if *until <= now));
         }
         if self.keys.len() >= ceiling {
-            return false;
+            return Claim::Full;
         }
         self.keys.insert(key.clone(), State::Running);
-        true
+        Claim::Granted
     }
 
     /// Ends a claim: remembered until `until`, or free again if the request did not run.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -70,7 +70,6 @@
     paused_at: Option<clock::Millis>,
     /// Set from a pause until its grace is over or control confirmed the view: nothing is sent.
     is_holding: bool,
-    held: Vec<id::Query>,
     outputs: Vec<Output>,
     stats: summary::Stats,
     recent: summary::Ring,
@@ -95,7 +94,6 @@
             ejected: 0,
             paused_at: None,
             is_holding: false,
-            held: Vec::new(),
             outputs: Vec::new(),
             stats: summary::Stats::default(),
             recent: summary::Ring::default(),
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -111,3 +111,26 @@
     assert!(outputs.iter().any(|output| matches!(output, event::Output::Revalidate)));
     assert_eq!((sent, told), (0, true), "{outputs:?}");
 }
+
+/// Many letters come within a minute, more than a host can remember the keys of. The next one is told
+/// that it was not run and when to come back; it must not be told that its key ran.
+#[test]
+fn a_full_memory_of_keys_refuses_and_says_so() {
+    let policy = policy::Policy { key_ceiling: 2, ..policy::Policy::default() };
+    let mut core = traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
+    let mut letters = view::View::clone(&view());
+    letters.classes[0].idempotent = false;
+    core.step(clock::Millis(1), [event::Input::View(Arc::new(letters))]);
+    let mut codes = Vec::new();
+    for caller in 1..=3 {
+        let key = Some(compact_str::format_compact!("letter-{caller}"));
+        let class = CompactString::const_new("ask");
+        let request = event::Request { caller: id::Caller(caller), class, patience: None, key };
+        for output in core.step(clock::Millis(2), [event::Input::Request(request)]) {
+            if let event::Output::Answer(answer) = output {
+                codes.push((answer.caller.0, answer.outcome, answer.code, answer.retry_after.is_some()));
+            }
+        }
+    }
+    assert_eq!(codes, [(3, event::Outcome::NotRun, event::Code::Overloaded, true)]);
+}
