--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use compact_str::CompactString;
-use shallothub_core::plan;
+use shallothub_core::{clock, plan};
 use shallothub_node::{run as node_run, shared};
 use snafu::ResultExt;
 
@@ -195,10 +195,13 @@
 }
 
 fn print_status(status: &shared::Status) {
-    let age = |age: Option<shallothub_core::clock::Millis>| age.map_or("never".to_owned(), |age| age.to_string());
+    let age = |age: Option<clock::Millis>| match age {
+        Some(age) => format!("confirmed {age} ago"),
+        None => "not confirmed yet".to_owned(),
+    };
     println!("{} in {}", status.host, status.data_centre);
-    println!("  config {}, confirmed {} ago", status.config, age(status.config_age_ms));
-    println!("  hosts  {}, confirmed {} ago", status.hosts, age(status.hosts_age_ms));
+    println!("  config {}, {}", status.config, age(status.config_age_ms));
+    println!("  hosts  {}, {}", status.hosts, age(status.hosts_age_ms));
     println!("  watches the platform: {}; calls so far: {}", status.watcher, status.control.platform_calls);
     for fault in &status.refused {
         println!("  refused: {fault}");
