--- /dev/null
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -0,0 +1,36 @@
+//! The smallest view: one leaf, one shard, one selector.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use shallothub_core::{clock, ratio, view};
+
+/// Deadline of the selector.
+pub const DEADLINE: clock::Millis = clock::Millis(250);
+
+/// One leaf that accepts `connections`, and the selector `ask` that reaches it.
+pub fn view(connections: u32) -> Arc<view::View> {
+    let mut registry = view::Registry::default();
+    let name = CompactString::const_new("leaf");
+    let replicas = vec![registry.intern(&name)];
+    let address = name.clone();
+    let server = view::Server { address, name, incarnation: 1, connections, slots: connections, leaving: false };
+    let class = view::Class {
+        name: CompactString::const_new("ask"),
+        service: CompactString::const_new("s"),
+        epoch: 1,
+        deadline: DEADLINE,
+        settle: None,
+        least_coverage: ratio::Ratio::ONE,
+        enough_hits: None,
+        idempotent: true,
+        hedge: false,
+        priority: 0,
+        targets: vec![view::Target { shard: CompactString::const_new("a"), replicas }],
+    };
+    let stamp = view::Stamp { version: 1, digest: 1 };
+    let mut classes = IndexMap::new();
+    classes.insert(class.name.clone(), class);
+    Arc::new(view::View { stamp, hosts_revision: stamp, hosts: 1, classes, servers: vec![Some(server)] })
+}
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -1,42 +1,18 @@
 //! Coming back after trouble: whatever a core learned in bad times must not keep it from serving in
 //! good ones.
 
+#[expect(unreachable_pub, reason = "a module of this test alone")]
+mod one_leaf;
+
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use indexmap::IndexMap;
 use shallothub_core::{
-    clock, id, ratio,
+    clock, id,
     traffic::{self, event, policy},
     view,
 };
 
-const DEADLINE: clock::Millis = clock::Millis(250);
-
-fn view() -> Arc<view::View> {
-    let mut registry = view::Registry::default();
-    let name = CompactString::const_new("leaf");
-    let replicas = vec![registry.intern(&name)];
-    let server = view::Server { address: name.clone(), name, incarnation: 1, connections: 8, slots: 8, leaving: false };
-    let class = view::Class {
-        name: CompactString::const_new("ask"),
-        service: CompactString::const_new("s"),
-        epoch: 1,
-        deadline: DEADLINE,
-        settle: None,
-        least_coverage: ratio::Ratio::ONE,
-        enough_hits: None,
-        idempotent: true,
-        hedge: false,
-        priority: 0,
-        targets: vec![view::Target { shard: CompactString::const_new("a"), replicas }],
-    };
-    let stamp = view::Stamp { version: 1, digest: 1 };
-    let mut classes = IndexMap::new();
-    classes.insert(class.name.clone(), class);
-    Arc::new(view::View { stamp, hosts_revision: stamp, hosts: 1, classes, servers: vec![Some(server)] })
-}
-
 /// One request at `now`; leafs answer at once, or never. The outcomes of whatever ended.
 fn ask(core: &mut traffic::Core, now: clock::Millis, caller: u64, is_up: bool) -> Vec<event::Outcome> {
     let class = CompactString::const_new("ask");
@@ -65,7 +41,7 @@
 fn a_class_serves_again_after_all_its_leafs_hung() {
     let lane = traffic::Lane { index: 0, count: 1 };
     let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
-    core.step(clock::Millis(1), [event::Input::View(view())]);
+    core.step(clock::Millis(1), [event::Input::View(one_leaf::view(8))]);
     let mut now = clock::Millis(2);
     let mut caller = 0;
     while now < clock::Millis(60_000) {
@@ -73,7 +49,7 @@
         now = now + clock::Millis(5);
         ask(&mut core, now, caller, false);
     }
-    now = now + DEADLINE;
+    now = now + one_leaf::DEADLINE;
     core.step(now, [event::Input::Tick]);
     let mut answered = 0;
     for _ in 0..400 {
@@ -93,7 +69,7 @@
 fn a_host_that_wakes_sends_nothing_that_expired() {
     let lane = traffic::Lane { index: 0, count: 1 };
     let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
-    core.step(clock::Millis(1), [event::Input::View(view())]);
+    core.step(clock::Millis(1), [event::Input::View(one_leaf::view(8))]);
     let class = CompactString::const_new("ask");
     let request = event::Request { caller: id::Caller(1), class, patience: None, key: None };
     let outputs = core.step(clock::Millis(2), [event::Input::Request(request)]);
@@ -118,7 +94,7 @@
 fn a_full_memory_of_keys_refuses_and_says_so() {
     let policy = policy::Policy { key_ceiling: 2, ..policy::Policy::default() };
     let mut core = traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
-    let mut letters = view::View::clone(&view());
+    let mut letters = view::View::clone(&one_leaf::view(8));
     letters.classes[0].idempotent = false;
     core.step(clock::Millis(1), [event::Input::View(Arc::new(letters))]);
     let mut codes = Vec::new();
