--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -201,6 +201,7 @@
             ages: [Some(clock::Millis(9999)); 2],
             sent: Some(clock::Millis(123_456_789)),
             echo: None,
+            members: Vec::new(),
         }),
     };
     points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
@@ -329,11 +330,11 @@
     let selectors = document::part("shallothub/selectors/0", &selector_text(1, count)).expect("parsed");
     let mut registry = view::Registry::default();
     let before = account::held();
-    let view = plan::compile(Default::default(), [&services, &selectors], &mut registry);
+    let view = plan::compile(Default::default(), [&services, &selectors], plan::Fleet::default(), &mut registry);
     let bytes = (account::held() - before) as f64;
     assert_eq!(view.classes.len(), count);
     let took = shortest(5, || {
-        plan::compile(Default::default(), [&services, &selectors], &mut registry);
+        plan::compile(Default::default(), [&services, &selectors], plan::Fleet::default(), &mut registry);
     });
     (bytes, took)
 }
@@ -362,9 +363,9 @@
         let selectors = document::part("shallothub/selectors/0", &selector_text(1, 1)).expect("parsed");
         let mut registry = view::Registry::default();
         let before = account::held();
-        let view = plan::compile(Default::default(), [&services, &selectors], &mut registry);
+        let view = plan::compile(Default::default(), [&services, &selectors], plan::Fleet::default(), &mut registry);
         points.add("view_bytes_by_shard", count, (account::held() - before) as f64);
-        assert_eq!(view.classes[0].targets.len(), count);
+        assert_eq!(view.classes[0].branches[0].targets.len(), count);
     }
 }
 
--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -89,7 +89,8 @@
                 leaving: false,
             }));
         }
-        targets.push(view::Target { shard: format_compact!("s{shard}"), replicas });
+        let service = registry.intern_service("service");
+        targets.push(view::Target { shard: format_compact!("s{shard}"), service, replicas });
     }
     let class = view::Class {
         name: CompactString::const_new("ask"),
@@ -102,12 +103,15 @@
         idempotent: true,
         hedge,
         priority: 0,
-        targets,
+        aim: None,
+        shape: view::Shape::Hits,
+        servers_most: None,
+        branches: vec![view::Branch { weight: 1.0, targets }],
     };
     let stamp = view::Stamp { version: 1, digest: 1 };
     let mut classes = IndexMap::new();
     classes.insert(class.name.clone(), class);
-    view::View { stamp, hosts_revision: stamp, hosts: HOSTS as u32, classes, servers }
+    view::View { stamp, hosts_revision: stamp, hosts: HOSTS as u32, classes, servers, ..view::View::default() }
 }
 
 fn millis(at: Micros) -> clock::Millis {
@@ -243,7 +247,7 @@
                 event::Output::Cancel { attempt } => self.cancel(host, attempt),
                 event::Output::Answer(answer) => self.answer(host, &answer),
                 event::Output::Breach(breach) => panic!("{breach:?}"),
-                event::Output::Trim { .. } | event::Output::Revalidate => {}
+                event::Output::Trim { .. } | event::Output::Revalidate | event::Output::Note(_) => {}
             }
         }
     }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -10,6 +10,8 @@
     tokens: f64,
     fraction: f64,
     capacity: f64,
+    /// The largest capacity that ever was; the bound on what was spent since the start.
+    capacity_most: f64,
     earned: u64,
     spent: u64,
 }
@@ -18,7 +20,26 @@
     /// A bucket that earns `fraction` tokens for each first attempt and holds `capacity` at most.
     /// It starts full, so that the first failures after a start can be mended.
     pub fn new(fraction: f64, capacity: f64) -> Self {
-        Self { tokens: capacity, fraction, capacity, earned: 0, spent: 0 }
+        Self { tokens: capacity, fraction, capacity, capacity_most: capacity, earned: 0, spent: 0 }
+    }
+
+    /// A bucket like that of [`Bucket::new`] that starts without tokens. A host that is started anew
+    /// may have spent its part just before it died, and a bound over a window of time counts both
+    /// lives.
+    pub fn empty(fraction: f64, capacity: f64) -> Self {
+        Self { tokens: 0.0, ..Self::new(fraction, capacity) }
+    }
+
+    /// Changes the capacity; tokens above it are lost.
+    pub fn set_capacity(&mut self, capacity: f64) {
+        self.capacity = capacity;
+        self.capacity_most = self.capacity_most.max(capacity);
+        self.tokens = self.tokens.min(capacity);
+    }
+
+    /// Whether there is a token.
+    pub fn has_token(&self) -> bool {
+        self.tokens >= 1.0
     }
 
     /// Records `count` first attempts.
@@ -55,7 +76,7 @@
 
     /// The most extra attempts that the bound allows so far.
     pub fn bound(&self) -> f64 {
-        self.fraction * self.earned as f64 + self.capacity
+        self.fraction * self.earned as f64 + self.capacity_most
     }
 
     /// Whether the bound on extra load holds; asserted as `bounded_extra_load`.
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -5,7 +5,10 @@
 
 use crate::{catalog, clock, rendezvous, view};
 
-use super::{Core, Output, message};
+use super::{Core, Output, Source, message, note};
+
+/// Shortest pause between two exchanges of digests.
+const GOSSIP_LEAST: clock::Millis = clock::Millis(50);
 
 impl Core {
     fn say(&mut self, to: CompactString, body: message::Body) {
@@ -14,8 +17,10 @@
         self.outputs.push(Output::Send { to, message });
     }
 
-    fn digest(&self, sent: Option<clock::Millis>, echo: Option<clock::Millis>) -> message::Body {
+    fn digest(&mut self, sent: Option<clock::Millis>, echo: Option<clock::Millis>) -> message::Body {
+        let members = self.named_members();
         message::Body::Digest(message::Digest {
+            members,
             stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
             ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
             sent,
@@ -23,6 +28,47 @@
         })
     }
 
+    /// This host and some that it heard of.
+    fn named_members(&mut self) -> Vec<message::Member> {
+        if matches!(self.reader.source, Source::Documents) {
+            return Vec::new();
+        }
+        let mut members = self.members.sample(self.now, &mut self.random);
+        members.push(message::Member {
+            peer: self.identity.peer.clone(),
+            name: self.identity.name.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            age: clock::Millis::ZERO,
+        });
+        members
+    }
+
+    fn hear_of(&mut self, members: &[message::Member]) {
+        let mut has_joined = false;
+        for member in members {
+            if member.peer == self.identity.peer || !self.members.hear(self.now, member) {
+                continue;
+            }
+            has_joined = true;
+            let known = self.members.count();
+            self.outputs.push(Output::Note(note::Note::Joined { name: member.name.clone(), known }));
+        }
+        if has_joined {
+            self.compile();
+            self.refresh_peers();
+        }
+    }
+
+    /// Members that fell silent are no longer asked, and after long no longer count.
+    fn review_members(&mut self) {
+        if self.members.forget(self.now, self.policy.member_forget) {
+            let known = self.members.count();
+            self.outputs.push(Output::Note(note::Note::Forgotten { known }));
+            self.compile();
+        }
+        self.refresh_peers();
+    }
+
     /// Compares digests with a few random hosts when it is time.
     pub(super) fn gossip(&mut self) {
         if self.gossip_at > self.now {
@@ -30,16 +76,25 @@
         }
         let jitter = self.random.random_range(0..=self.policy.gossip.0 / 4);
         let pause = if self.view.is_some() { self.policy.gossip } else { self.policy.start_wait };
-        self.gossip_at = self.now + pause + clock::Millis(jitter);
+        self.gossip_at = self.now + pause.max(GOSSIP_LEAST) + clock::Millis(jitter);
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.review_members();
+        }
         self.probe();
     }
 
     fn probe(&mut self) {
-        let known: Vec<CompactString> = if self.peers.is_empty() {
-            self.identity.seeds.iter().filter(|seed| **seed != self.identity.peer).cloned().collect()
-        } else {
-            self.peers.keys().cloned().collect()
-        };
+        let mut known: Vec<CompactString> = self.peers.keys().cloned().collect();
+        // Where nobody lists the hosts, two halves that lost each other for long find together again
+        // only by what the settings name.
+        let needs_seeds = known.is_empty() || matches!(self.reader.source, Source::Registry { .. });
+        if needs_seeds {
+            for seed in &self.identity.seeds {
+                if *seed != self.identity.peer && !known.contains(seed) {
+                    known.push(seed.clone());
+                }
+            }
+        }
         let count = (self.policy.gossip_peers as usize).min(known.len());
         let first = if known.is_empty() { 0 } else { self.random.random_range(0..known.len()) };
         for step in 0..count {
@@ -52,6 +107,9 @@
 
     pub(super) fn on_revalidate(&mut self) {
         self.revalidate_at = Some(self.now);
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.confirm_with_registry();
+        }
         self.probe();
     }
 
@@ -69,6 +127,7 @@
     }
 
     fn on_digest(&mut self, from: CompactString, digest: &message::Digest) {
+        self.hear_of(&digest.members);
         for kind in catalog::Kind::ALL {
             let shelf = &self.shelves[kind.index()];
             let theirs = digest.stamps[kind.index()];
@@ -176,7 +235,9 @@
             return;
         }
         shelf.pending = Some(manifest);
-        self.try_adopt(kind);
+        if self.try_adopt(kind) {
+            self.outputs.push(Output::Note(note::Note::FromPeer { from, stamp }));
+        }
     }
 
     /// Sends what changed to this host's children in the tree of its data centre, and, from the
@@ -194,8 +255,14 @@
             return Vec::new();
         };
         let fanout = self.policy.fanout as usize;
-        let mut names: Vec<CompactString> = self.ranked.iter().skip(place * fanout + 1).take(fanout).cloned().collect();
-        if place == 0 {
+        let first = place * fanout + 1;
+        // A host that watches for itself needs no push.
+        let skipped = first.max(self.policy.watchers as usize);
+        let end = first + fanout;
+        let mut names: Vec<CompactString> = self.ranked.iter().take(end).skip(skipped).cloned().collect();
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        let all_watch = is_registry && self.policy.watchers as usize >= self.ranked.len();
+        if place == 0 && !all_watch {
             names.extend(self.other_roots());
         }
         let mut addresses = Vec::new();
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -54,6 +54,22 @@
     /// The receiver's own clock from the digest that this one replies to. Ages are counted from it
     /// and never from arrival: a reply may have lain in a buffer while the receiver was stopped.
     pub echo: Option<clock::Millis>,
+    /// The sender and some hosts that it heard of, where nobody lists them.
+    pub members: Vec<Member>,
+}
+
+/// An entry host that the sender of a digest heard of.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Member {
+    /// `IP:PORT` at which it listens for messages.
+    pub peer: CompactString,
+    /// Its name.
+    pub name: CompactString,
+    /// Its data centre.
+    pub data_centre: CompactString,
+    /// Time since it was last heard by anyone, as far as the sender knows.
+    pub age: clock::Millis,
 }
 
 /// A request for a catalog.
--- /dev/null
+++ b/crates/core/src/control/mirror.rs
@@ -0,0 +1,161 @@
+//! A copy of a keyspace that is read whole and then followed by its changes.
+//!
+//! Each item carries the revision of its last change, and the copy the revision up to which it is
+//! complete. Applying a change twice, or one that is older than the item, changes nothing, so pages
+//! that were read while changes went on, and answers that come twice, do no harm. The copy never
+//! goes back: what is older than it is left out.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+
+use crate::catalog;
+
+/// An item as the source has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Its key.
+    pub key: CompactString,
+    /// Its value.
+    pub text: Arc<str>,
+    /// The revision of its last change.
+    pub revision: u64,
+}
+
+/// One page of a whole read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Its items, by key.
+    pub items: Vec<Item>,
+    /// Whether there are more after it.
+    pub has_more: bool,
+    /// The source's revision when it was read.
+    pub at: u64,
+}
+
+/// A change of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It was written.
+    Put(Item),
+    /// It was removed.
+    Gone {
+        /// Its key.
+        key: CompactString,
+        /// The revision of the removal.
+        revision: u64,
+    },
+}
+
+/// What came of asking for changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// These, and none besides up to `at`.
+    News {
+        /// In order.
+        events: Vec<Event>,
+        /// The revision up to which they are complete.
+        at: u64,
+    },
+    /// The source has forgotten them; it must be read whole.
+    HistoryGone,
+    /// It did not answer, or refused.
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    revision: u64,
+    digest: catalog::Digest,
+    text: Arc<str>,
+}
+
+/// See the module.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Mirror {
+    rows: IndexMap<CompactString, Row>,
+    at: u64,
+    /// Pages of a whole read that is not finished, and the revision of the first.
+    reading: Option<(u64, Vec<Item>)>,
+}
+
+impl Mirror {
+    /// The revision up to which the copy is complete; 0 before the first whole read.
+    pub(super) fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// Takes a page. When it was the last, the whole read replaces the copy, unless the copy is newer.
+    /// Returns where the next page begins.
+    pub(super) fn take_page(&mut self, page: Page) -> Option<CompactString> {
+        let (_, items) = self.reading.get_or_insert((page.at, Vec::new()));
+        let last = page.items.last().map(|item| item.key.clone());
+        items.extend(page.items);
+        if page.has_more && last.is_some() {
+            return last;
+        }
+        // Complete is what the first page saw; later pages may show newer items, which is harmless.
+        let (at, items) = self.reading.take().unwrap_or_default();
+        if at < self.at {
+            return None;
+        }
+        self.at = at;
+        self.rows.clear();
+        for item in items {
+            self.put(item);
+        }
+        None
+    }
+
+    /// Forgets the pages of a whole read that did not come to its end.
+    pub(super) fn abandon(&mut self) {
+        self.reading = None;
+    }
+
+    /// Takes changes; `false` if they are older than the copy.
+    pub(super) fn take_changes(&mut self, events: Vec<Event>, at: u64) -> bool {
+        for event in events {
+            match event {
+                Event::Put(item) => self.put(item),
+                Event::Gone { key, revision } => self.remove(&key, revision),
+            }
+        }
+        let is_older = at < self.at;
+        self.at = self.at.max(at);
+        !is_older
+    }
+
+    fn put(&mut self, item: Item) {
+        let is_older = self.rows.get(&item.key).is_some_and(|row| row.revision >= item.revision);
+        if is_older {
+            return;
+        }
+        let digest = catalog::Digest::of(&item.text);
+        self.rows.insert(item.key, Row { revision: item.revision, digest, text: item.text });
+    }
+
+    fn remove(&mut self, key: &CompactString, revision: u64) {
+        let is_older = self.rows.get(key).is_some_and(|row| row.revision < revision);
+        if is_older {
+            self.rows.swap_remove(key);
+        }
+    }
+
+    /// The items of `kind` as a catalog's parts, with their texts.
+    pub(super) fn parts(
+        &self,
+        kind: catalog::Kind,
+        kind_of: fn(&str) -> Option<catalog::Kind>,
+    ) -> Vec<(CompactString, catalog::Digest, Arc<str>)> {
+        let mut parts = Vec::new();
+        for (key, row) in &self.rows {
+            if kind_of(key) != Some(kind) {
+                continue;
+            }
+            parts.push((key.clone(), row.digest, Arc::clone(&row.text)));
+        }
+        parts.sort_unstable_by(|left, right| left.0.cmp(&right.0));
+        parts
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,8 +11,13 @@
 //! last good one stays in force.
 
 mod gossip;
+mod hold;
+mod member;
 pub mod message;
+pub mod mirror;
+pub mod note;
 mod platform;
+mod registry;
 
 use std::sync::Arc;
 
@@ -48,6 +53,15 @@
     /// up to three times as much, and a host that is not among its own seeds waits ten times as
     /// long. Default 300.
     pub start_wait: clock::Millis,
+    /// Silence after which another host is no longer asked, in ms, where hosts learn of each other
+    /// only from each other. Default 5000.
+    pub member_quiet: clock::Millis,
+    /// Silence after which another host no longer counts for shares of limits, in ms. It must outlast
+    /// partitions, in which both sides go on. Default 60000.
+    pub member_forget: clock::Millis,
+    /// How long a server whose entry is missing still gets work if no outage was seen, in ms. Must be
+    /// well below the time for which servers serve after they are removed. Default 1500.
+    pub hold: clock::Millis,
 }
 
 impl Default for Policy {
@@ -61,6 +75,9 @@
             stale: clock::Millis(25_000),
             read_pause: clock::Millis(5000),
             start_wait: clock::Millis(300),
+            member_quiet: clock::Millis(5000),
+            member_forget: clock::Millis(60_000),
+            hold: clock::Millis(1500),
         }
     }
 }
@@ -79,9 +96,25 @@
     pub seeds: Vec<CompactString>,
 }
 
-/// The functions that read documents; they live in the settings package, which knows YAML.
+/// Where configuration and lists of hosts come from.
+#[derive(Clone, Copy, Debug)]
+pub enum Source {
+    /// Published documents: a manifest for each catalog, which names its parts.
+    Documents,
+    /// A keyspace that is read whole and followed by its changes. Entry hosts are not listed; they
+    /// learn of each other by gossip.
+    Registry {
+        /// The catalog to which an item belongs, by its key; `None` if it is not for this system.
+        kind_of: fn(&str) -> Option<catalog::Kind>,
+    },
+}
+
+/// The functions that read documents; they live in the settings package, which knows YAML, or with
+/// the interface that knows the registry's format.
 #[derive(Clone, Copy, Debug)]
 pub struct Reader {
+    /// Where the documents come from.
+    pub source: Source,
     /// Reads a manifest.
     pub manifest: fn(&str) -> Result<catalog::Manifest, Vec<plan::Fault>>,
     /// Reads the part with this key.
@@ -111,6 +144,15 @@
         /// Its text.
         text: Option<Arc<str>>,
     },
+    /// The answer to [`Output::List`]; `None` if there was none.
+    Page(Option<mirror::Page>),
+    /// The answer to [`Output::Follow`].
+    Changes {
+        /// Which call.
+        ticket: u64,
+        /// What came of it.
+        changes: mirror::Changes,
+    },
     /// Another host says something.
     Peer(message::Message),
     /// A traffic core woke from a pause.
@@ -136,6 +178,22 @@
         /// Its key.
         key: CompactString,
     },
+    /// Read a page of the whole registry.
+    List {
+        /// The key after which it begins; `None` for the first page.
+        after: Option<CompactString>,
+    },
+    /// Ask the registry for changes. A call of this kind that is still on its way is given up.
+    Follow {
+        /// To be given back with the answer.
+        ticket: u64,
+        /// The revision that is known.
+        after: u64,
+        /// How long the registry may wait for a change, in ms.
+        wait: clock::Millis,
+    },
+    /// Log an event that changes what this host believes.
+    Note(note::Note),
     /// Send a message to the host that listens at `to`.
     Send {
         /// `IP:PORT`.
@@ -207,12 +265,14 @@
     now: clock::Millis,
     random: rngs::SmallRng,
     shelves: [Shelf; 2],
-    registry: view::Registry,
+    servers: view::Registry,
     view: Option<Arc<view::View>>,
     /// Other entry hosts that are listed, by the address at which they listen.
     peers: IndexMap<CompactString, plan::EntryHost>,
     /// Hosts of this data centre, by rank; the first ones watch, and the order is the push tree's.
     ranked: Vec<CompactString>,
+    members: member::Members,
+    registry: registry::Registry,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     /// When a traffic core asked for confirmation.
@@ -224,23 +284,27 @@
 impl Core {
     /// A core that knows nothing yet.
     pub fn new(policy: Policy, identity: Identity, reader: Reader, seed: u64, now: clock::Millis) -> Self {
-        Self {
+        let mut core = Self {
             policy,
             identity,
             reader,
             now,
             random: rngs::SmallRng::seed_from_u64(seed),
             shelves: Default::default(),
-            registry: view::Registry::default(),
+            servers: view::Registry::default(),
             view: None,
             peers: IndexMap::new(),
             ranked: Vec::new(),
+            members: member::Members::default(),
+            registry: registry::Registry::default(),
             gossip_at: now,
             started_at: now,
             revalidate_at: None,
             outputs: Vec::new(),
             stats: Stats::default(),
-        }
+        };
+        core.refresh_peers();
+        core
     }
 
     /// Runs the systems once.
@@ -249,16 +313,29 @@
         for input in inputs {
             self.take(input);
         }
-        self.ask_platform();
+        match self.reader.source {
+            Source::Documents => self.ask_platform(),
+            Source::Registry { .. } => self.ask_registry(),
+        }
         self.gossip();
         self.count_outputs()
     }
 
+    /// When the core must be stepped again at the latest, if nothing else happens.
+    pub fn next_timer(&self) -> clock::Millis {
+        match self.reader.source {
+            Source::Documents => self.now,
+            Source::Registry { .. } => self.gossip_at.min(self.registry_timer()),
+        }
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Tick => {}
             Input::Manifest { kind, watched, text } => self.on_manifest(kind, watched, text),
             Input::Part { kind, key, text } => self.on_part(kind, key, text),
+            Input::Page(page) => self.on_page(page),
+            Input::Changes { ticket, changes } => self.on_changes(ticket, changes),
             Input::Peer(message) => self.on_message(message),
             Input::Revalidate => self.on_revalidate(),
         }
@@ -268,9 +345,11 @@
         let outputs = std::mem::take(&mut self.outputs);
         for output in &outputs {
             match output {
-                Output::ReadManifest(_) | Output::Watch { .. } | Output::ReadPart { .. } => {
-                    self.stats.platform_calls += 1;
-                }
+                Output::ReadManifest(_)
+                | Output::Watch { .. }
+                | Output::ReadPart { .. }
+                | Output::List { .. }
+                | Output::Follow { .. } => self.stats.platform_calls += 1,
                 Output::Send { .. } => self.stats.sent += 1,
                 _ => {}
             }
@@ -324,7 +403,7 @@
             };
             for service in services.iter().filter(|service| service.name == selector.service) {
                 for server in &service.servers {
-                    reasons.push((server.name.clone(), plan::explain(selector, server, &mut self.registry, &view)));
+                    reasons.push((server.name.clone(), plan::explain(selector, server, &mut self.servers, &view)));
                 }
             }
         }
@@ -365,6 +444,9 @@
             let text = &shelf.current.texts[digest];
             match (reader.part)(key, text) {
                 Ok(part) => {
+                    if let plan::Part::Unreadable(fault) = &part {
+                        self.outputs.push(Output::Note(note::Note::Unreadable(fault.clone())));
+                    }
                     shelf.parsed.insert(*digest, Arc::new(part));
                 }
                 Err(found) => faults.extend(found),
@@ -397,6 +479,10 @@
         }
         let before = shelf.current.manifest.clone();
         let old_stamp = shelf.stamp;
+        if kind == catalog::Kind::Hosts {
+            self.hold_missing(&before, &manifest);
+        }
+        let shelf = &mut self.shelves[kind.index()];
         shelf.current.adopt(manifest);
         shelf.parsed.retain(|digest, _| shelf.current.texts.contains_key(digest));
         shelf.stamp = stamp;
@@ -406,15 +492,21 @@
     }
 
     fn compile(&mut self) {
-        if self.shelves.iter().any(|shelf| shelf.current.manifest.parts.is_empty()) {
+        if self.shelves.iter().any(|shelf| shelf.stamp.version == 0) {
             return;
         }
         if mutant::is(mutant::Mutant::ForgetLeaving) {
-            self.registry.forget_marks();
+            self.servers.forget_marks();
         }
         let stamps = [self.shelves[0].stamp, self.shelves[1].stamp];
         let parts = self.shelves.iter().flat_map(|shelf| shelf.parsed.values()).map(|part| &**part);
-        let view = Arc::new(plan::compile(stamps, parts, &mut self.registry));
+        let held = self.registry.held.leafs();
+        let members = match self.reader.source {
+            Source::Documents => 0,
+            Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
+        };
+        let fleet = plan::Fleet { members, held: &held };
+        let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
         self.outputs.push(Output::View(view));
@@ -424,6 +516,10 @@
     fn refresh_peers(&mut self) {
         self.peers.clear();
         self.ranked.clear();
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.refresh_from_members();
+            return;
+        }
         for part in self.shelves[catalog::Kind::Hosts.index()].parsed.values() {
             let plan::Part::Hosts { entry_hosts, .. } = &**part else {
                 continue;
@@ -440,8 +536,20 @@
         rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
     }
 
+    /// The same where hosts are known only from each other.
+    fn refresh_from_members(&mut self) {
+        self.ranked.push(self.identity.name.clone());
+        for host in self.members.hosts(self.now, self.policy.member_quiet) {
+            if host.state == plan::State::Live && host.data_centre == self.identity.data_centre {
+                self.ranked.push(host.name.clone());
+            }
+            self.peers.insert(host.peer.clone(), host);
+        }
+        rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
+    }
+
     /// The server called `name`, for tests and status.
     pub fn server(&mut self, name: &str) -> id::Server {
-        self.registry.intern(name)
+        self.servers.intern(name)
     }
 }
--- /dev/null
+++ b/crates/core/src/control/note.rs
@@ -0,0 +1,58 @@
+//! Events that change what a host believes of the registry, of other hosts or of entries, for its log.
+
+use compact_str::CompactString;
+
+use crate::{clock, plan, view};
+
+/// An event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// The registry does not answer any more.
+    SourceLost {
+        /// The revision that is known.
+        at: u64,
+    },
+    /// The registry answers again.
+    SourceBack {
+        /// The revision that is known.
+        at: u64,
+    },
+    /// The registry forgot the changes since the known revision; it is read whole.
+    HistoryGone {
+        /// The revision that is known.
+        at: u64,
+    },
+    /// A catalog came from another host.
+    FromPeer {
+        /// `IP:PORT` of the host.
+        from: CompactString,
+        /// Which one.
+        stamp: view::Stamp,
+    },
+    /// Another host was heard of for the first time.
+    Joined {
+        /// Its name.
+        name: CompactString,
+        /// Hosts known now, this one included.
+        known: usize,
+    },
+    /// Hosts were silent for so long that they no longer count.
+    Forgotten {
+        /// Hosts known now, this one included.
+        known: usize,
+    },
+    /// An entry is missing from the list, and its server still gets work for a while.
+    Held {
+        /// The server.
+        server: CompactString,
+        /// For how long.
+        span: clock::Millis,
+    },
+    /// Servers are missing from the list for too long.
+    Gone {
+        /// Their names.
+        servers: Vec<CompactString>,
+    },
+    /// An entry cannot be read and is left out.
+    Unreadable(plan::Fault),
+}
--- a/crates/core/src/control/platform.rs
+++ b/crates/core/src/control/platform.rs
@@ -73,7 +73,7 @@
     /// there is nobody to learn from yet, and if all read, the platform gets thousands of calls a
     /// second. So the hosts that the settings name as seeds read first; by the time that the rest
     /// would, the seeds have told them.
-    fn start_wait(&self) -> clock::Millis {
+    pub(super) fn start_wait(&self) -> clock::Millis {
         let seeds = &self.identity.seeds;
         let is_seed = seeds.contains(&self.identity.peer);
         let has_others = seeds.iter().any(|seed| *seed != self.identity.peer);
--- /dev/null
+++ b/crates/core/src/control/registry.rs
@@ -0,0 +1,239 @@
+//! Reading a registry: a keyspace that is read whole once and then followed by its changes.
+//!
+//! The items become the parts of the two catalogs, under the revision up to which the copy is
+//! complete. From there on everything is as with published documents: a higher version replaces a
+//! lower one, whether it came from the registry or from another host, and never the other way round.
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::{catalog, clock, plan};
+
+use super::{Core, Output, hold, mirror, note};
+
+/// Pause after changes before the next ones are asked for, in ms. Changes come in bursts (a start of
+/// many servers, a warm-up that is reported step by step), and each answer costs a call; the bounds
+/// for taking notice are some seconds.
+const NEWS_PAUSE: clock::Millis = clock::Millis(200);
+/// Least pause after a call that failed, in ms; jitter adds as much again. A registry that is back is
+/// seen in well under the two seconds in which its entries return.
+const FAILURE_PAUSE: clock::Millis = clock::Millis(300);
+
+/// Which call is on its way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Call {
+    #[default]
+    None,
+    Page,
+    Changes {
+        /// Told apart from a call that was given up.
+        ticket: u64,
+        /// Sent to confirm the view after a pause.
+        confirms: bool,
+    },
+}
+
+/// What is known of the registry.
+#[derive(Debug, Default)]
+pub(super) struct Registry {
+    mirror: mirror::Mirror,
+    call: Call,
+    tickets: u64,
+    must_read: bool,
+    call_at: clock::Millis,
+    pub(super) held: hold::Held,
+}
+
+impl Core {
+    /// Sends the call that is due: a whole read when nothing is known, else the question for changes.
+    pub(super) fn ask_registry(&mut self) {
+        self.expire_held();
+        if self.registry.call != Call::None || self.registry.call_at > self.now || !self.may_ask() {
+            return;
+        }
+        if self.registry.mirror.at() == 0 || self.registry.must_read {
+            self.registry.must_read = false;
+            self.registry.call = Call::Page;
+            self.outputs.push(Output::List { after: None });
+            return;
+        }
+        let wait = if self.is_watcher() { self.policy.watch } else { clock::Millis::ZERO };
+        self.follow(wait, false);
+    }
+
+    /// A watcher always asks; another host does when nobody told it anything for long, and at the
+    /// start after those that its settings name first.
+    fn may_ask(&self) -> bool {
+        if self.view.is_none() && self.now < self.started_at + self.start_wait() {
+            return false;
+        }
+        let fresh_at = self.shelves[catalog::Kind::Hosts.index()].fresh_at;
+        self.is_watcher() || fresh_at.is_none_or(|at| self.now.since(at) > self.policy.stale)
+    }
+
+    fn follow(&mut self, wait: clock::Millis, confirms: bool) {
+        let registry = &mut self.registry;
+        registry.tickets += 1;
+        registry.call = Call::Changes { ticket: registry.tickets, confirms };
+        self.outputs.push(Output::Follow { ticket: registry.tickets, after: registry.mirror.at(), wait });
+    }
+
+    /// After a pause the call on its way may be dead: asks anew, without waiting for changes.
+    pub(super) fn confirm_with_registry(&mut self) {
+        if self.registry.mirror.at() == 0 {
+            return;
+        }
+        self.follow(clock::Millis::ZERO, true);
+    }
+
+    pub(super) fn on_page(&mut self, page: Option<mirror::Page>) {
+        if self.registry.call != Call::Page {
+            return;
+        }
+        let Some(page) = page else {
+            self.registry.mirror.abandon();
+            self.registry.must_read = true;
+            self.on_registry_failure();
+            return;
+        };
+        self.on_registry_answer();
+        if let Some(after) = self.registry.mirror.take_page(page) {
+            self.outputs.push(Output::List { after: Some(after) });
+            return;
+        }
+        self.registry.call = Call::None;
+        self.rebuild();
+    }
+
+    pub(super) fn on_changes(&mut self, ticket: u64, changes: mirror::Changes) {
+        let Call::Changes { ticket: current, confirms } = self.registry.call else {
+            return;
+        };
+        if current != ticket {
+            return;
+        }
+        self.registry.call = Call::None;
+        match changes {
+            mirror::Changes::Failed => self.on_registry_failure(),
+            mirror::Changes::HistoryGone => {
+                self.on_registry_answer();
+                self.registry.must_read = true;
+                let at = self.registry.mirror.at();
+                self.outputs.push(Output::Note(note::Note::HistoryGone { at }));
+            }
+            mirror::Changes::News { events, at } => {
+                self.on_registry_answer();
+                if !events.is_empty() {
+                    self.registry.call_at = self.now + NEWS_PAUSE;
+                }
+                if !self.registry.mirror.take_changes(events, at) {
+                    self.stats.platform_stale += 1;
+                    return;
+                }
+                self.rebuild();
+                if confirms && self.revalidate_at.take().is_some() {
+                    self.outputs.push(Output::Revalidated);
+                }
+            }
+        }
+    }
+
+    fn on_registry_answer(&mut self) {
+        let was_away = self.registry.held.is_away();
+        self.registry.held.on_answer(self.now);
+        if was_away {
+            let at = self.registry.mirror.at();
+            self.outputs.push(Output::Note(note::Note::SourceBack { at }));
+        }
+    }
+
+    fn on_registry_failure(&mut self) {
+        self.stats.platform_failures += 1;
+        self.registry.call = Call::None;
+        let jitter = self.random.random_range(0..=FAILURE_PAUSE.0);
+        self.registry.call_at = self.now + FAILURE_PAUSE + clock::Millis(jitter);
+        if self.registry.held.on_failure() {
+            let at = self.registry.mirror.at();
+            self.outputs.push(Output::Note(note::Note::SourceLost { at }));
+        }
+    }
+
+    /// Makes catalogs of the copy, and adopts those whose content changed.
+    fn rebuild(&mut self) {
+        let super::Source::Registry { kind_of } = self.reader.source else {
+            return;
+        };
+        for kind in catalog::Kind::ALL {
+            self.rebuild_catalog(kind, kind_of);
+            self.shelves[kind.index()].fresh_at = Some(self.now);
+        }
+    }
+
+    fn rebuild_catalog(&mut self, kind: catalog::Kind, kind_of: fn(&str) -> Option<catalog::Kind>) {
+        let parts = self.registry.mirror.parts(kind, kind_of);
+        let is_unwritten = parts.is_empty() && kind == catalog::Kind::Config;
+        if is_unwritten {
+            return;
+        }
+        let mut manifest = catalog::Manifest { version: self.registry.mirror.at(), ..Default::default() };
+        for (key, digest, _) in &parts {
+            manifest.parts.insert(key.clone(), *digest);
+        }
+        let stamp = manifest.stamp();
+        let shelf = &mut self.shelves[kind.index()];
+        let is_known = stamp.digest == shelf.stamp.digest && shelf.stamp.version > 0;
+        if is_known || stamp <= shelf.stamp || shelf.refused == Some(stamp) {
+            return;
+        }
+        for (_, digest, text) in parts {
+            shelf.current.texts.entry(digest).or_insert(text);
+        }
+        shelf.pending = Some(manifest);
+        self.try_adopt(kind);
+    }
+
+    /// Holds the servers that a new list lacks, and lets go of those that it names again.
+    pub(super) fn hold_missing(&mut self, before: &catalog::Manifest, after: &catalog::Manifest) {
+        let mut missing: Vec<Arc<plan::Part>> = Vec::new();
+        let parsed = &self.shelves[catalog::Kind::Hosts.index()].parsed;
+        for (key, digest) in &before.parts {
+            if !after.parts.contains_key(key) {
+                missing.extend(parsed.get(digest).cloned());
+            }
+        }
+        for part in missing {
+            let plan::Part::Leaf(leaf) = &*part else {
+                continue;
+            };
+            if leaf.leaving {
+                continue;
+            }
+            let until = self.registry.held.add(self.now, leaf, self.policy.hold);
+            let span = until - self.now;
+            self.outputs.push(Output::Note(note::Note::Held { server: leaf.name.clone(), span }));
+        }
+        for digest in after.parts.values() {
+            if let Some(plan::Part::Leaf(leaf)) = parsed.get(digest).map(|part| &**part) {
+                self.registry.held.remove(&leaf.name);
+            }
+        }
+    }
+
+    fn expire_held(&mut self) {
+        let gone = self.registry.held.expire(self.now);
+        if gone.is_empty() {
+            return;
+        }
+        self.outputs.push(Output::Note(note::Note::Gone { servers: gone }));
+        self.compile();
+    }
+
+    /// When a system of the registry must run at the latest.
+    pub(super) fn registry_timer(&self) -> clock::Millis {
+        let held = self.registry.held.next().unwrap_or(clock::Millis::MAX);
+        let is_idle = self.registry.call == Call::None;
+        let call = if is_idle && self.may_ask() { self.registry.call_at } else { clock::Millis::MAX };
+        held.min(call)
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -36,6 +36,32 @@
     }
 }
 
+/// A service, by its place in [`crate::view::Registry`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Service(pub u32);
+
+impl Service {
+    /// The index into tables of services.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl fmt::Display for Service {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "service-{}", self.0)
+    }
+}
+
+impl str::FromStr for Service {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.strip_prefix("service-").unwrap_or(text).parse().map(Self)
+    }
+}
+
 /// A query in flight in one traffic core.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Query(pub table::Key);
--- /dev/null
+++ b/crates/core/src/plan/check.rs
@@ -0,0 +1,166 @@
+//! Faults of a configuration, looked at as a whole.
+
+use compact_str::CompactString;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{clock, view};
+
+use super::{Fault, Part, Place, Reach, Selector, Server, Service, routing, targets};
+
+/// All faults of the parts of one configuration, looked at together. `parts` are keyed by document.
+pub fn check<'p>(parts: impl IntoIterator<Item = (&'p CompactString, &'p Part)>) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut services: IndexMap<&CompactString, &Service> = IndexMap::new();
+    let mut servers: IndexSet<&CompactString> = IndexSet::new();
+    let mut selectors = Vec::new();
+    for (document, part) in parts {
+        match part {
+            Part::Services { services: rows, .. } => {
+                for service in rows {
+                    check_service(document, service, &mut servers, &mut faults);
+                    if services.insert(&service.name, service).is_some() {
+                        faults.push(duplicate(document, service.place, "service", &service.name));
+                    }
+                }
+            }
+            Part::Selectors(rows) => selectors.extend(rows.iter().map(|row| (document, row))),
+            Part::Routing(routing) => routing::check(document, routing, &mut faults),
+            Part::Hosts { .. } | Part::Leaf(_) | Part::Unreadable(_) => {}
+        }
+    }
+    let mut names = IndexSet::new();
+    for (document, selector) in selectors {
+        if !names.insert(&selector.name) {
+            faults.push(duplicate(document, selector.place, "selector", &selector.name));
+        }
+        check_selector(document, selector, services.get(&selector.service).copied(), &mut faults);
+    }
+    faults
+}
+
+fn duplicate(document: &CompactString, place: Place, what: &str, name: &str) -> Fault {
+    Fault {
+        document: document.clone(),
+        place,
+        problem: format!("the {what} `{name}` is defined twice"),
+        remedy: "keep one of the two, or give it another name".to_owned(),
+    }
+}
+
+fn check_service<'p>(
+    document: &CompactString,
+    service: &'p Service,
+    servers: &mut IndexSet<&'p CompactString>,
+    faults: &mut Vec<Fault>,
+) {
+    let mut held: IndexMap<&CompactString, bool> = IndexMap::new();
+    for shard in &service.shards {
+        if held.insert(shard, false).is_some() {
+            faults.push(Fault {
+                document: document.clone(),
+                place: service.place,
+                problem: format!("shard `{shard}` of `{}` overlaps itself: it is listed twice", service.name),
+                remedy: "list each shard once".to_owned(),
+            });
+        }
+    }
+    for server in &service.servers {
+        if !servers.insert(&server.name) {
+            faults.push(duplicate(document, server.place, "server", &server.name));
+        }
+        check_server(document, service, server, &mut held, faults);
+    }
+    for (shard, is_held) in held {
+        if is_held {
+            continue;
+        }
+        faults.push(Fault {
+            document: document.clone(),
+            place: service.place,
+            problem: format!("no server holds shard `{shard}` of `{}`", service.name),
+            remedy: "add it to a server's `shards`, or take it from the service's".to_owned(),
+        });
+    }
+}
+
+fn check_server<'p>(
+    document: &CompactString,
+    service: &'p Service,
+    server: &'p Server,
+    held: &mut IndexMap<&'p CompactString, bool>,
+    faults: &mut Vec<Fault>,
+) {
+    let mut seen = IndexSet::new();
+    for shard in &server.shards {
+        if !seen.insert(shard) {
+            faults.push(Fault {
+                document: document.clone(),
+                place: server.place,
+                problem: format!("server `{}` holds shard `{shard}` twice", server.name),
+                remedy: "list each shard once".to_owned(),
+            });
+        }
+        let Some(is_held) = held.get_mut(shard) else {
+            faults.push(Fault {
+                document: document.clone(),
+                place: server.place,
+                problem: format!(
+                    "server `{}` holds shard `{shard}`, which `{}` does not have",
+                    server.name, service.name
+                ),
+                remedy: format!("use one of: {}", service.shards.join(", ")),
+            });
+            continue;
+        };
+        *is_held = true;
+    }
+    if server.connections == 0 || server.slots == 0 {
+        faults.push(Fault {
+            document: document.clone(),
+            place: server.place,
+            problem: format!("server `{}` accepts no connections or has no slots", server.name),
+            remedy: "give `connections` and `slots` of at least 1".to_owned(),
+        });
+    }
+}
+
+fn check_selector(document: &CompactString, selector: &Selector, service: Option<&Service>, faults: &mut Vec<Fault>) {
+    let mut fault = |problem: String, remedy: String| {
+        faults.push(Fault { document: document.clone(), place: selector.place, problem, remedy });
+    };
+    let name = &selector.name;
+    if selector.deadline == clock::Millis::ZERO {
+        fault(format!("selector `{name}` gives no time"), "set `deadline_ms` above 0".to_owned());
+    }
+    if selector.settle.is_some_and(|settle| settle >= selector.deadline) {
+        fault(
+            format!("selector `{name}` settles after its deadline"),
+            "set `settle_ms` below `deadline_ms`".to_owned(),
+        );
+    }
+    if usize::from(selector.priority) >= view::Class::PRIORITIES {
+        fault(format!("selector `{name}` has no such priority"), "use 0 (first) to 3 (last)".to_owned());
+    }
+    if selector.hedge && !selector.idempotent {
+        fault(
+            format!("selector `{name}` hedges requests that must run at most once"),
+            "set `hedge: false`, or `idempotent: true` if running twice does no harm".to_owned(),
+        );
+    }
+    if !selector.idempotent && selector.reach == Reach::All && service.is_some_and(|service| service.shards.len() > 1) {
+        fault(format!("selector `{name}` runs at most once but reaches every shard"), "set `reach: one`".to_owned());
+    }
+    let Some(service) = service else {
+        fault(
+            format!("selector `{name}` names the unknown service `{}`", selector.service),
+            "name a published service".to_owned(),
+        );
+        return;
+    };
+    if targets(selector, service).is_empty() {
+        fault(
+            format!("selector `{name}` matches no server of `{}`", selector.service),
+            "change its `match` to labels that the servers have".to_owned(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/src/plan/compile.rs
@@ -0,0 +1,171 @@
+//! From accepted parts to a view.
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+
+use crate::{id, mutant, view};
+
+use super::{BackendServer, EntryHost, Leaf, Part, Selector, Server, Service, State, routing, targets};
+
+/// What a host knows that no document says.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fleet<'l> {
+    /// Entry hosts that may hold connections, this one included, as far as hosts heard of each
+    /// other; 0 if the documents list them.
+    pub members: u32,
+    /// Servers whose entry is missing but that still count.
+    pub held: &'l [Leaf],
+}
+
+/// Builds the view of accepted parts. Leaving marks are added to `registry` and taken from it, so
+/// that a mark once seen stays for that incarnation.
+pub fn compile<'p>(
+    stamps: [view::Stamp; 2],
+    parts: impl IntoIterator<Item = &'p Part>,
+    fleet: Fleet<'p>,
+    registry: &mut view::Registry,
+) -> view::View {
+    let mut most = 0;
+    let mut entry_hosts = 0;
+    let mut listed: IndexMap<&CompactString, &BackendServer> = IndexMap::new();
+    let mut services = IndexMap::new();
+    let mut selectors = Vec::new();
+    let mut leafs: IndexMap<&CompactString, &Leaf> = IndexMap::new();
+    let mut routings = Vec::new();
+    for part in parts {
+        match part {
+            Part::Services { entry_hosts_most, services: rows } => {
+                most = most.max(*entry_hosts_most);
+                services.extend(rows.iter().map(|service: &Service| (&service.name, service)));
+            }
+            Part::Selectors(rows) => selectors.extend(rows),
+            Part::Hosts { entry_hosts: hosts, backend_servers } => {
+                entry_hosts += count_hosts(hosts);
+                listed.extend(backend_servers.iter().map(|server| (&server.name, server)));
+            }
+            Part::Routing(routing) => routings.push(routing),
+            Part::Leaf(leaf) => {
+                leafs.insert(&leaf.name, leaf);
+            }
+            Part::Unreadable(_) => {}
+        }
+    }
+    for leaf in fleet.held {
+        leafs.entry(&leaf.name).or_insert(leaf);
+    }
+    let mut view = view::View {
+        stamp: stamps[0],
+        hosts_revision: stamps[1],
+        hosts: if mutant::is(mutant::Mutant::ShareByReach) { entry_hosts } else { most.max(entry_hosts) },
+        ..view::View::default()
+    };
+    view.hosts = view.hosts.max(fleet.members);
+    for server in services.values().flat_map(|service| &service.servers) {
+        add_server(&mut view, server, listed.get(&server.name).copied(), registry);
+    }
+    for selector in selectors {
+        let Some(service) = services.get(&selector.service) else {
+            continue;
+        };
+        view.classes.insert(selector.name.clone(), class(selector, service, registry));
+    }
+    for routing in routings {
+        let by_service = add_leafs(&mut view, routing, &leafs, registry);
+        routing::compile(&mut view, routing, &by_service, registry);
+    }
+    view
+}
+
+/// Adds the servers that registered themselves, and returns them by service.
+fn add_leafs(
+    view: &mut view::View,
+    routing: &routing::Routing,
+    leafs: &IndexMap<&CompactString, &Leaf>,
+    registry: &mut view::Registry,
+) -> IndexMap<CompactString, Vec<id::Server>> {
+    let connections: IndexMap<&CompactString, u32> =
+        routing.services.iter().map(|service| (&service.name, service.connections)).collect();
+    let mut by_service: IndexMap<CompactString, Vec<id::Server>> = IndexMap::new();
+    for leaf in leafs.values() {
+        let id = registry.intern(&leaf.name);
+        if leaf.leaving {
+            registry.mark_leaving(id, 0);
+        }
+        let server = view::Server {
+            name: leaf.name.clone(),
+            address: leaf.address.clone(),
+            incarnation: 0,
+            connections: connections.get(&leaf.service).copied().unwrap_or_default(),
+            slots: leaf.slots,
+            leaving: registry.is_leaving(id, 0),
+        };
+        put_server(view, id, server);
+        by_service.entry(leaf.service.clone()).or_default().push(id);
+    }
+    by_service
+}
+
+fn put_server(view: &mut view::View, id: id::Server, server: view::Server) {
+    if view.servers.len() <= id.index() {
+        view.servers.resize(id.index() + 1, None);
+    }
+    view.servers[id.index()] = Some(server);
+}
+
+/// Entry hosts that may hold connections: leaving ones do until they are gone.
+fn count_hosts(hosts: &[EntryHost]) -> u32 {
+    let mut count = 0;
+    for host in hosts {
+        let is_gone = mutant::is(mutant::Mutant::ShareByReach) && host.state == State::Leaving;
+        count += u32::from(!is_gone);
+    }
+    count
+}
+
+fn add_server(view: &mut view::View, server: &Server, listed: Option<&BackendServer>, registry: &mut view::Registry) {
+    let id = registry.intern(&server.name);
+    if view.servers.len() <= id.index() {
+        view.servers.resize(id.index() + 1, None);
+    }
+    let Some(listed) = listed else {
+        return;
+    };
+    let is_marked = listed.state == State::Leaving;
+    if is_marked {
+        registry.mark_leaving(id, listed.incarnation);
+    }
+    let row = view::Server {
+        name: server.name.clone(),
+        address: listed.address.clone(),
+        incarnation: listed.incarnation,
+        connections: server.connections,
+        slots: server.slots,
+        leaving: is_marked || registry.is_leaving(id, listed.incarnation),
+    };
+    put_server(view, id, row);
+}
+
+fn class(selector: &Selector, service: &Service, registry: &mut view::Registry) -> view::Class {
+    let budget = registry.intern_service(&service.name);
+    let mut compiled = Vec::new();
+    for (shard, servers) in targets(selector, service) {
+        let replicas = servers.iter().map(|server| registry.intern(&server.name)).collect();
+        compiled.push(view::Target { shard, service: budget, replicas });
+    }
+    view::Class {
+        name: selector.name.clone(),
+        service: selector.service.clone(),
+        epoch: service.epoch,
+        deadline: selector.deadline,
+        aim: None,
+        shape: view::Shape::Hits,
+        servers_most: None,
+        settle: selector.settle,
+        least_coverage: selector.least_coverage,
+        enough_hits: selector.enough_hits,
+        idempotent: selector.idempotent,
+        hedge: selector.hedge,
+        priority: selector.priority,
+        branches: vec![view::Branch { weight: 1.0, targets: compiled }],
+    }
+}
--- /dev/null
+++ b/crates/core/src/plan/routing.rs
@@ -0,0 +1,196 @@
+//! Routes by host and path, and servers that register themselves.
+//!
+//! This is the other form of a configuration: it names services instead of shards and servers, and
+//! the servers of a service are those that say so. A shard is then a service with its replicas.
+
+use compact_str::CompactString;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{clock, id, ratio, route, view};
+
+use super::{Fault, Place};
+
+/// A configuration of routes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routing {
+    /// The operators' own number of this configuration, for logs.
+    pub number: u64,
+    /// Its routes.
+    pub routes: Vec<Route>,
+    /// The services that they name.
+    pub services: Vec<Backing>,
+    /// Bounds on callers.
+    pub limits: Option<route::Limits>,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Unique name.
+    pub name: CompactString,
+    /// The host that requests name.
+    pub host: CompactString,
+    /// What the path begins with; begins and ends with a slash.
+    pub prefix: CompactString,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// Longest time to an answer.
+    pub timeout: clock::Millis,
+    /// Time within which an answer is worth most, from the caller's first attempt.
+    pub aim: Option<clock::Millis>,
+    /// Most servers to which one request may be sent, for each shard.
+    pub servers_most: u8,
+    /// 0 is served first.
+    pub priority: u8,
+    /// Where its requests go.
+    pub to: Destination,
+}
+
+/// Where a route's requests go.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Destination {
+    /// To one server of one of these services, in proportion to the weights.
+    Services(Vec<(CompactString, f64)>),
+    /// To one server of each of these services, whose records are merged.
+    Gather {
+        /// The shards.
+        services: Vec<CompactString>,
+        /// Records in an answer.
+        top: u32,
+        /// Least share of shards for an answer.
+        least_coverage: ratio::Ratio,
+    },
+}
+
+/// A service to which routes lead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backing {
+    /// Unique name.
+    pub name: CompactString,
+    /// Connections that each of its servers accepts from all hosts together.
+    pub connections: u32,
+}
+
+/// A server that registered itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leaf {
+    /// Unique for each start of a server.
+    pub name: CompactString,
+    /// Its service.
+    pub service: CompactString,
+    /// Its data centre.
+    pub data_centre: CompactString,
+    /// `IP:PORT` of its HTTP interface.
+    pub address: CompactString,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it finishes what it has and goes.
+    pub leaving: bool,
+}
+
+/// Faults of routes. Two routes of one name, host and prefix would each be right half of the time.
+pub(super) fn check(document: &CompactString, routing: &Routing, faults: &mut Vec<Fault>) {
+    let mut names = IndexSet::new();
+    let mut places = IndexSet::new();
+    for route in &routing.routes {
+        let mut fault = |problem: String, remedy: &str| {
+            let remedy = remedy.to_owned();
+            faults.push(Fault { document: document.clone(), place: Place::default(), problem, remedy });
+        };
+        let name = &route.name;
+        if !names.insert(name) {
+            fault(format!("the route `{name}` is defined twice"), "give one of the two another name");
+        }
+        if !places.insert((&route.host, &route.prefix)) {
+            let place = format!("{}{}", route.host, route.prefix);
+            fault(format!("route `{name}`: another one has the place `{place}` too"), "keep one of the two");
+        }
+        let is_framed = route.prefix.starts_with('/') && route.prefix.ends_with('/');
+        if !is_framed {
+            fault(format!("route `{name}`: the prefix `{}` is no directory", route.prefix), "begin and end with /");
+        }
+        if route.timeout == clock::Millis::ZERO {
+            fault(format!("route `{name}` gives no time"), "set a time above 0");
+        }
+        match &route.to {
+            Destination::Services(branches) => {
+                let is_weighted = branches.iter().all(|(_, weight)| weight.is_finite() && *weight >= 0.0);
+                let total: f64 = branches.iter().map(|(_, weight)| weight).sum();
+                if branches.is_empty() || !is_weighted || total <= 0.0 {
+                    fault(format!("route `{name}` leads nowhere"), "name a service, or weights above 0");
+                }
+            }
+            Destination::Gather { services, .. } => {
+                let distinct: IndexSet<_> = services.iter().collect();
+                if services.is_empty() || distinct.len() < services.len() {
+                    fault(format!("route `{name}` names no shard, or one twice"), "name each shard once");
+                }
+                if !route.idempotent {
+                    fault(
+                        format!("route `{name}` reaches many shards but must run at most once"),
+                        "make it idempotent",
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Adds the classes and routes of `routing` to `view`, with the servers of `leafs`.
+pub(super) fn compile(
+    view: &mut view::View,
+    routing: &Routing,
+    leafs: &IndexMap<CompactString, Vec<id::Server>>,
+    registry: &mut view::Registry,
+) {
+    view.number = routing.number;
+    view.limits = routing.limits;
+    let mut target = |service: &CompactString| view::Target {
+        shard: service.clone(),
+        service: registry.intern_service(service),
+        replicas: leafs.get(service).cloned().unwrap_or_default(),
+    };
+    for route in &routing.routes {
+        let mut branches = Vec::new();
+        match &route.to {
+            Destination::Services(services) => {
+                for (service, weight) in services.iter().filter(|(_, weight)| *weight > 0.0) {
+                    branches.push(view::Branch { weight: *weight, targets: vec![target(service)] });
+                }
+            }
+            Destination::Gather { services, .. } => {
+                let targets = services.iter().map(&mut target).collect();
+                branches.push(view::Branch { weight: 1.0, targets });
+            }
+        }
+        view.routes.insert(&route.host, &route.prefix, &route.name);
+        view.classes.insert(route.name.clone(), class(route, branches));
+    }
+}
+
+fn class(route: &Route, branches: Vec<view::Branch>) -> view::Class {
+    let (shape, least_coverage) = match &route.to {
+        Destination::Services(_) => (view::Shape::Whole, ratio::Ratio::ONE),
+        Destination::Gather { top, least_coverage, .. } => (view::Shape::Records { top: *top }, *least_coverage),
+    };
+    let service = match &route.to {
+        Destination::Services(services) => services.first().map(|(service, _)| service.clone()),
+        Destination::Gather { services, .. } => services.first().cloned(),
+    };
+    view::Class {
+        name: route.name.clone(),
+        service: service.unwrap_or_default(),
+        epoch: 0,
+        deadline: route.timeout,
+        aim: route.aim,
+        shape,
+        servers_most: Some(route.servers_most.max(1)),
+        settle: None,
+        least_coverage,
+        enough_hits: None,
+        idempotent: route.idempotent,
+        hedge: route.idempotent,
+        priority: route.priority.min(view::Class::PRIORITIES as u8 - 1),
+        branches,
+    }
+}
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -3,29 +3,47 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use rand::Rng;
 
 use crate::{clock, id, mutant, view};
 
 use super::{class, event, key, query, timer::Timer};
 
-/// Time that an answer needs on its way back to the caller; no attempt is given the very end.
-const MARGIN: clock::Millis = clock::Millis(2);
 /// Longest that a request which is not idempotent is refused after a pause without confirmation.
 const CONFIRM_MOST: clock::Millis = clock::Millis(5000);
 
+/// When to come back to a host that knows no configuration yet: about what a read of it takes.
+const START_AFTER: clock::Millis = clock::Millis(200);
+/// When to come back for a request that too few servers could run: a server that was started anew is
+/// listed about a heartbeat later.
+const NO_REPLICA_AFTER: clock::Millis = clock::Millis(1000);
+
+/// Where in the view a query stands.
+struct Place {
+    selector: usize,
+    branch: usize,
+}
+
 impl super::Core {
     pub(super) fn on_request(&mut self, request: event::Request) {
-        let Some((selector, _, class)) = self.view.classes.get_full(&request.class) else {
+        if self.view.stamp == view::Stamp::default() {
+            self.refuse(&request, event::Code::Starting, Some(START_AFTER));
+            return;
+        }
+        let view = Arc::clone(&self.view);
+        let Some((selector, _, class)) = view.classes.get_full(&request.class) else {
             self.refuse(&request, event::Code::UnknownClass, None);
             return;
         };
         let patience = request.patience.unwrap_or(class.deadline).min(class.deadline);
-        if patience <= MARGIN {
+        if patience <= self.policy.margin {
             self.refuse(&request, event::Code::DeadlinePassed, None);
             return;
         }
-        if !self.is_reachable(class) {
-            self.refuse(&request, event::Code::NoReplica, Some(clock::Millis(1000)));
+        let row = self.class_row(&request.class);
+        let branch = self.pick_branch(row, class);
+        if !self.is_reachable(class, branch) {
+            self.refuse(&request, event::Code::NoReplica, Some(NO_REPLICA_AFTER));
             return;
         }
         let idempotent = class.idempotent;
@@ -33,7 +51,6 @@
             self.refuse(&request, event::Code::Revalidating, Some(self.policy.revalidate_grace));
             return;
         }
-        let row = self.class_row(&request.class);
         if let Some(retry_after) = self.overload(row, patience) {
             self.refuse(&request, event::Code::Overloaded, Some(retry_after));
             return;
@@ -52,21 +69,52 @@
                 }
             }
         }
-        let deadline = self.now + patience - MARGIN;
-        self.enqueue(request, row, selector, deadline);
+        let deadline = self.now + patience - self.policy.margin;
+        let settle_at = class.aim.map(|aim| self.now + self.time_to_aim(row, aim, request.patience));
+        self.enqueue(request, row, Place { selector, branch }, deadline, settle_at);
+    }
+
+    /// The alternative for the next request of a class.
+    fn pick_branch(&mut self, row: usize, class: &view::Class) -> usize {
+        if class.branches.len() < 2 {
+            return 0;
+        }
+        let start = self.random.random();
+        self.classes[row].split.next(class.branches.iter().map(|branch| branch.weight), start)
     }
 
-    fn enqueue(&mut self, request: event::Request, class: usize, selector: usize, deadline: clock::Millis) {
+    /// Time until an answer must leave to be inside the aim, which counts from the caller's first
+    /// attempt. A caller that asks again has less patience left than it began with; the difference
+    /// to the most that callers of the class have is how long ago it began.
+    fn time_to_aim(&mut self, row: usize, aim: clock::Millis, patience: Option<clock::Millis>) -> clock::Millis {
+        let Some(patience) = patience else {
+            return aim - self.policy.aim_margin;
+        };
+        let most = self.classes[row].patience.most(self.now, patience);
+        aim - self.policy.aim_margin - most.since(patience)
+    }
+
+    fn enqueue(
+        &mut self,
+        request: event::Request,
+        class: usize,
+        place: Place,
+        deadline: clock::Millis,
+        settle_at: Option<clock::Millis>,
+    ) {
         let caller = request.caller;
         let query = id::Query(self.queries.insert(query::Query {
             caller,
             class,
             view: Arc::clone(&self.view),
-            selector,
+            selector: place.selector,
+            branch: place.branch,
             key: request.key,
             arrived: self.now,
             deadline,
             started: None,
+            settle_at,
+            failure: None,
             parts: Vec::new(),
             groups: Vec::new(),
             want: None,
@@ -84,12 +132,13 @@
     }
 
     /// Whether enough shards have a server that takes new work.
-    fn is_reachable(&self, class: &view::Class) -> bool {
+    fn is_reachable(&self, class: &view::Class, branch: usize) -> bool {
+        let targets = class.branches.get(branch).map_or(&[][..], |branch| &branch.targets);
         let mut open = 0;
-        for target in &class.targets {
-            open += usize::from(target.replicas.iter().any(|&id| self.view.is_open(id)));
+        for target in targets {
+            open += usize::from(target.replicas.iter().any(|&id| self.is_open(id)));
         }
-        open > 0 && class.least_coverage.is_met(open, class.targets.len())
+        open > 0 && class.least_coverage.is_met(open, targets.len())
     }
 
     fn class_row(&mut self, name: &CompactString) -> usize {
@@ -109,7 +158,7 @@
         let is_full = class.queue.len() >= self.policy.queue_ceiling as usize;
         let wait = class.expected_wait();
         let is_long = wait > patience.scale(self.policy.queue_share.get());
-        if is_full || is_long || wait + class.slow_run() + MARGIN >= patience {
+        if is_full || is_long || wait + class.slow_run() + self.policy.margin >= patience {
             return Some(class.retry_after());
         }
         None
@@ -181,22 +230,30 @@
         };
         row.view = Arc::clone(&view);
         row.selector = selector;
+        // A view that came while the query waited may have cut the alternatives anew.
+        row.branch = row.branch.min(class.branches.len().saturating_sub(1));
         row.started.get_or_insert(now);
-        row.parts = vec![query::Part::default(); class.targets.len()];
+        let targets = &class.branches[row.branch].targets;
+        row.parts = vec![query::Part::default(); targets.len()];
         row.groups.clear();
         row.failed = 0;
         row.want = None;
-        let count = class.targets.len() as u64;
+        let count = targets.len() as u64;
         let class_row = row.class;
-        let settle = class.settle;
+        if let Some(settle) = class.settle {
+            row.settle_at = Some(now + settle);
+        }
+        if let Some(settle_at) = row.settle_at {
+            self.timers.push(settle_at.max(now), Timer::Settle(query));
+        }
         if row.restarts == 0 {
             self.classes[class_row].hedges.earn(count);
             self.classes[class_row].retries.earn(count);
+            for target in targets {
+                self.fleet.earn(target.service);
+            }
         }
         self.pick_snapshot(query);
-        if let Some(settle) = settle {
-            self.timers.push(now + settle, Timer::Settle(query));
-        }
         self.arm_hedge(query, now);
         for part in 0..count as u32 {
             self.place(query, part, query::Kind::First);
@@ -245,6 +302,8 @@
             snapshot: None,
             contributed: Vec::new(),
             missing: Vec::new(),
+            shape: view::Shape::default(),
+            failure: None,
             retry_after,
             cost: event::Cost::default(),
         }));
--- a/crates/core/src/traffic/class.rs
+++ b/crates/core/src/traffic/class.rs
@@ -9,7 +9,7 @@
 
 use compact_str::CompactString;
 
-use crate::{budget, clock, id, window};
+use crate::{budget, clock, id, route, window};
 
 use super::policy;
 
@@ -24,6 +24,28 @@
 /// Longest, so that a caller notices the end of an overload.
 const RETRY_AFTER_MOST: clock::Millis = clock::Millis(2000);
 
+/// How long the most patience of callers is remembered at least; then a change to less is noticed.
+const PATIENCE_SPAN: clock::Millis = clock::Millis(10_000);
+
+/// The most patience that callers of a class had lately, in two spans of time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Patience {
+    most: [clock::Millis; 2],
+    since: clock::Millis,
+}
+
+impl Patience {
+    /// Records a caller's patience and returns the most.
+    pub(crate) fn most(&mut self, now: clock::Millis, patience: clock::Millis) -> clock::Millis {
+        if now.since(self.since) >= PATIENCE_SPAN {
+            self.most = [clock::Millis::ZERO, self.most[0]];
+            self.since = now;
+        }
+        self.most[0] = self.most[0].max(patience);
+        self.most[0].max(self.most[1])
+    }
+}
+
 /// One row of the table of classes.
 #[derive(Debug)]
 pub(crate) struct Class {
@@ -38,6 +60,10 @@
     pub(crate) retries: budget::Bucket,
     /// Until when queries pick a snapshot before they start, because replies were mixed.
     pub(crate) rolling_until: clock::Millis,
+    /// Distributes requests over the class's alternatives.
+    pub(crate) split: route::Split,
+    /// The most patience that callers have.
+    pub(crate) patience: Patience,
     limit: f64,
     cut_at: clock::Millis,
     ended_at: clock::Millis,
@@ -56,6 +82,8 @@
             hedges: budget::Bucket::new(policy.hedge_fraction, policy.burst),
             retries: budget::Bucket::new(policy.retry_fraction, policy.burst),
             rolling_until: clock::Millis::ZERO,
+            split: route::Split::default(),
+            patience: Patience::default(),
             limit: START_LIMIT,
             cut_at: clock::Millis::ZERO,
             ended_at: clock::Millis::ZERO,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -4,16 +4,14 @@
 
 use rand::Rng;
 
-use crate::{clock, id, invariant, mutant, rendezvous, view};
+use crate::{clock, id, invariant, mutant, view};
 
-use super::{event, query, server, timer::Timer};
+use super::{event, note, query, server, timer::Timer};
 
 /// First backoff before a shard whose replicas were all tried is asked again.
 const BACKOFF: clock::Millis = clock::Millis(5);
 /// Most times that a shard waits for the retry budget.
 const BUDGET_WAITS: u8 = 4;
-/// How long queries pick a snapshot before they start after replies were mixed.
-const ROLLING: clock::Millis = clock::Millis(10_000);
 
 impl super::Core {
     /// Sends an attempt for a shard, or lets it wait for room at a server.
@@ -51,92 +49,13 @@
         }
     }
 
-    /// The replica for a shard: open, not tried yet, in use, preferably with the wanted snapshot;
-    /// of two random ones that qualify, the one that should answer sooner.
-    fn choose(&mut self, query: id::Query, part: u32) -> Option<id::Server> {
-        let row = self.queries.get(query.0)?;
-        let view = Arc::clone(&row.view);
-        let class = &view.classes[row.selector];
-        let state = row.parts[part as usize];
-        let want = row.want;
-        let replicas = &class.targets[part as usize].replicas;
-        if !class.idempotent && row.key.is_some() {
-            return self.choose_by_key(query, part);
-        }
-        let mut best: Option<(u8, u32, id::Server)> = None;
-        let mut second: Option<(u8, u32, id::Server)> = None;
-        for &id in replicas {
-            if !self.is_open(id) {
-                continue;
-            }
-            let rank = self.rank(id, &state, want);
-            let candidate = (rank, self.random.random::<u32>(), id);
-            if best.is_none_or(|held| candidate < held) {
-                second = best.replace(candidate);
-                continue;
-            }
-            if second.is_none_or(|held| candidate < held) {
-                second = Some(candidate);
-            }
-        }
-        let (rank, _, first) = best?;
-        let Some((second_rank, _, second)) = second else {
-            return Some(first);
-        };
-        if second_rank != rank || !self.policy.two_choices {
-            return Some(first);
-        }
-        let weight = self.policy.reported_load_weight;
-        let scores = [first, second].map(|id| self.servers[id.index()].score(self.now, weight));
-        Some(if scores[1] < scores[0] { second } else { first })
-    }
-
-    /// Smaller is better. Classes of replicas are kept apart so that load decides only among equals.
-    fn rank(&self, id: id::Server, part: &query::Part, want: Option<view::Snapshot>) -> u8 {
-        let state = &self.servers[id.index()];
-        let was_tried = part.was_tried(id);
-        let is_out = state.is_ejected(self.now) && self.policy.ejection;
-        let lacks = want.is_some_and(|want| state.holds[0].is_some() && !state.holds(want));
-        let is_full = state.share == 0;
-        u8::from(was_tried) * 8 + u8::from(is_full) * 4 + u8::from(is_out) * 2 + u8::from(lacks)
-    }
-
-    /// The replica that owns the request key on every host that has the same view, so that the
-    /// server can refuse a duplicate that came through another host.
-    fn choose_by_key(&self, query: id::Query, part: u32) -> Option<id::Server> {
-        let row = self.queries.get(query.0)?;
-        let key = row.key.as_ref()?;
-        let target = &row.selector().targets[part as usize];
-        let mut best: Option<(u64, id::Server)> = None;
-        for &id in &target.replicas {
-            let Some(published) = self.view.server(id) else {
-                continue;
-            };
-            if !self.is_open(id) {
-                continue;
-            }
-            let candidate = (rendezvous::weight(key, &published.name), id);
-            if best.is_none_or(|held| candidate > held) {
-                best = Some(candidate);
-            }
-        }
-        best.map(|(_, id)| id)
-    }
-
-    /// Whether new work may go to `id` by the view in force, which may be newer than the query's.
-    fn is_open(&self, id: id::Server) -> bool {
-        if mutant::is(mutant::Mutant::ChooseLeaving) {
-            return self.view.server(id).is_some();
-        }
-        self.view.is_open(id)
-    }
-
     pub(super) fn send(&mut self, query: id::Query, part: u32, server: id::Server, kind: query::Kind) {
         let now = self.now;
         let Some(published) = self.view.server(server) else {
             self.fail_part(query, part);
             return;
         };
+        let name = published.name.clone();
         let address = published.address.clone();
         let is_leaving = published.leaving;
         let Some(row) = self.queries.get_mut(query.0) else {
@@ -145,7 +64,15 @@
         let class = row.class;
         let view = Arc::clone(&row.view);
         let selector = &view.classes[row.selector];
-        let attempt = id::Attempt(self.attempts.insert(query::Attempt { query, part, server, sent: now, kind }));
+        let is_paid = std::mem::take(&mut row.parts[part as usize].is_paid);
+        let attempt = query::Attempt { query, part, server, sent: now, kind, class, is_paid };
+        let attempt = id::Attempt(self.attempts.insert(attempt));
+        if kind == query::Kind::Retry {
+            self.note_extra(query, part, server, note::Cause::Failure);
+        }
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
         let state = &mut row.parts[part as usize];
         state.is_waiting = false;
         state.note_tried(server);
@@ -160,13 +87,17 @@
             query,
             caller: row.caller,
             server,
+            name,
             address,
-            shard: selector.targets[part as usize].shard.clone(),
+            shard: selector.branches[row.branch].targets[part as usize].shard.clone(),
             key: row.key.clone(),
             deadline: row.deadline,
             epoch: selector.epoch,
             want: row.want,
+            shape: selector.shape,
+            idempotent: selector.idempotent,
         };
+        let service = row.target(part).service;
         let repeats = !selector.idempotent && row.may_have_run;
         if repeats {
             let detail = format!("{query} {attempt} after an attempt that may have run");
@@ -175,11 +106,11 @@
         if is_leaving {
             self.breach(invariant::Name::NoWorkToLeaving, format!("{query} {attempt} to {server}"));
         }
-        self.count_attempt(class, server, kind);
+        self.count_attempt(class, service, server, kind);
         self.outputs.push(event::Output::Dispatch(dispatch));
     }
 
-    fn count_attempt(&mut self, class: usize, server: id::Server, kind: query::Kind) {
+    fn count_attempt(&mut self, class: usize, service: id::Service, server: id::Server, kind: query::Kind) {
         match kind {
             query::Kind::First => self.stats.first += 1,
             query::Kind::Hedge => self.stats.hedges += 1,
@@ -192,7 +123,7 @@
             self.breach(invariant::Name::BoundedConnections, detail);
         }
         let row = &self.classes[class];
-        if row.hedges.holds() && row.retries.holds() {
+        if row.hedges.holds() && row.retries.holds() && self.fleet.holds(service) {
             return;
         }
         let detail = format!("{}: {} hedges, {} retries", row.name, row.hedges.spent(), row.retries.spent());
@@ -272,15 +203,15 @@
             self.finish_unanswered(query, event::Code::AttemptLost, None);
             return;
         }
-        let class = row.class;
-        let replicas = &selector.targets[part as usize].replicas;
-        let has_fresh = replicas.iter().any(|&id| !state.was_tried(id) && self.view.is_open(id));
+        let replicas = &row.target(part).replicas;
+        let may_try_more = selector.servers_most.is_none_or(|most| state.servers() < usize::from(most));
+        let has_fresh = may_try_more && replicas.iter().any(|&id| !state.was_tried(id) && self.is_open(id));
         let is_spent = state.tries >= self.policy.attempts_per_shard;
         if is_spent {
             self.fail_part(query, part);
             return;
         }
-        if !is_free && !self.spend_retry(class) {
+        if !is_free && !self.spend(query, part, query::Kind::Retry) {
             self.wait_for_budget(query, part, was_not_run);
             return;
         }
@@ -318,12 +249,44 @@
         self.back_off(query, part, doublings);
     }
 
-    pub(super) fn spend_retry(&mut self, class: usize) -> bool {
-        if mutant::is(mutant::Mutant::UnboundedExtra) {
-            self.classes[class].retries.force();
+    /// Takes a token for an extra attempt at a shard from the class's budget and from this host's part
+    /// of the fleet's; from both or from none.
+    pub(super) fn spend(&mut self, query: id::Query, part: u32, kind: query::Kind) -> bool {
+        let Some(row) = self.queries.get(query.0) else {
+            return false;
+        };
+        let service = row.target(part).service;
+        let class = &mut self.classes[row.class];
+        let bucket = if kind == query::Kind::Hedge { &mut class.hedges } else { &mut class.retries };
+        if mutant::is(mutant::Mutant::UnboundedExtra) && kind != query::Kind::Hedge {
+            bucket.force();
+            return true;
+        }
+        if self.fleet.has_token(service) && bucket.spend() {
+            self.fleet.spend(service);
+            // A query that begins anew pays for all its shards before it has their rows again.
+            let row = self.queries.get_mut(query.0);
+            if let Some(state) = row.and_then(|row| row.parts.get_mut(part as usize)) {
+                state.is_paid = true;
+            }
             return true;
         }
-        self.classes[class].retries.spend()
+        let cause = if kind == query::Kind::Hedge { note::Cause::Silence } else { note::Cause::Failure };
+        let shard = row.target(part).shard.clone();
+        let caller = row.caller;
+        self.note(note::Note::Denied { caller, shard, cause });
+        false
+    }
+
+    pub(super) fn note_extra(&mut self, query: id::Query, part: u32, server: id::Server, cause: note::Cause) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let caller = row.caller;
+        let shard = row.target(part).shard.clone();
+        let after = self.now.since(row.arrived);
+        let server = self.server_name(server);
+        self.note(note::Note::Extra { caller, shard, server, cause, after });
     }
 
     pub(super) fn on_backoff_end(&mut self, query: id::Query, part: u32) {
@@ -333,128 +296,13 @@
         let Some(row) = self.queries.get_mut(query.0) else {
             return;
         };
-        let class = row.class;
         let state = &mut row.parts[part as usize];
         state.is_waiting = false;
         let needs_budget = std::mem::take(&mut state.needs_budget);
-        if needs_budget && !self.spend_retry(class) {
+        if needs_budget && !self.spend(query, part, query::Kind::Retry) {
             self.wait_for_budget(query, part, true);
             return;
         }
         self.place(query, part, query::Kind::Retry);
     }
-
-    /// Sets the timer after which silent attempts of `query` may be hedged.
-    pub(super) fn arm_hedge(&mut self, query: id::Query, since: clock::Millis) {
-        let Some(row) = self.queries.get(query.0) else {
-            return;
-        };
-        let selector = row.selector();
-        if !selector.hedge || !selector.idempotent || self.policy.hedge_fraction <= 0.0 {
-            return;
-        }
-        let delay = self.hedge_delay(row.class);
-        self.timers.push(since + delay, Timer::Hedge(query));
-    }
-
-    fn hedge_delay(&self, class: usize) -> clock::Millis {
-        let usual = self.classes[class].attempts.quantile(self.policy.hedge_quantile);
-        usual.unwrap_or(clock::Millis(50)).max(self.policy.hedge_floor)
-    }
-
-    /// Asks a second replica for shards that are silent for longer than most.
-    pub(super) fn hedge(&mut self, query: id::Query) {
-        let Some(row) = self.queries.get(query.0) else {
-            return;
-        };
-        let class = row.class;
-        let delay = self.hedge_delay(class);
-        let mut next: Option<clock::Millis> = None;
-        for part in 0..row.parts.len() as u32 {
-            let Some(sent) = self.silent_since(query, part) else {
-                continue;
-            };
-            if self.now.since(sent) < delay {
-                next = Some(next.map_or(sent, |held| held.min(sent)));
-                continue;
-            }
-            if !self.hedge_part(query, part, class) {
-                next = Some(self.now);
-            }
-        }
-        if let Some(since) = next {
-            self.arm_hedge(query, since);
-        }
-    }
-
-    /// When the only live attempt of a shard without a reply was sent.
-    fn silent_since(&self, query: id::Query, part: u32) -> Option<clock::Millis> {
-        let state = &self.queries.get(query.0)?.parts[part as usize];
-        if state.has_reply() || state.live_count() != 1 {
-            return None;
-        }
-        let attempt = state.live.iter().flatten().next()?;
-        self.attempts.get(attempt.0).map(|attempt| attempt.sent)
-    }
-
-    /// Sends one hedge, if another replica has room right now and the budget allows; never into a
-    /// queue, where it would only add load to servers that are already behind.
-    fn hedge_part(&mut self, query: id::Query, part: u32, class: usize) -> bool {
-        let Some(server) = self.choose(query, part) else {
-            return true;
-        };
-        let Some(row) = self.queries.get(query.0) else {
-            return true;
-        };
-        if row.parts[part as usize].was_tried(server) {
-            return true;
-        }
-        if !self.has_room(server) || self.servers[server.index()].waiting_len() > 0 {
-            return false;
-        }
-        if !self.classes[class].hedges.spend() {
-            return false;
-        }
-        self.send(query, part, server, query::Kind::Hedge);
-        true
-    }
-
-    /// While versions roll, starts a query with the snapshot that most shards can give.
-    pub(super) fn pick_snapshot(&mut self, query: id::Query) {
-        let Some(row) = self.queries.get(query.0) else {
-            return;
-        };
-        if self.classes[row.class].rolling_until < self.now {
-            return;
-        }
-        let epoch = row.selector().epoch;
-        let mut reach: Vec<(view::Snapshot, usize)> = Vec::new();
-        for target in &row.selector().targets {
-            let mut seen: Vec<view::Snapshot> = Vec::new();
-            for &id in &target.replicas {
-                if !self.is_open(id) {
-                    continue;
-                }
-                let held = self.servers[id.index()].holds;
-                seen.extend(held.iter().flatten().filter(|snapshot| snapshot.epoch == epoch));
-            }
-            seen.sort_unstable();
-            seen.dedup();
-            for snapshot in seen {
-                match reach.iter_mut().find(|(other, _)| *other == snapshot) {
-                    Some((_, shards)) => *shards += 1,
-                    None => reach.push((snapshot, 1)),
-                }
-            }
-        }
-        let want = reach.into_iter().max_by_key(|&(snapshot, shards)| (shards, snapshot));
-        if let Some(row) = self.queries.get_mut(query.0) {
-            row.want = want.map(|(snapshot, _)| snapshot);
-        }
-    }
-
-    /// Replies are mixed: queries to come pick their snapshot before they start.
-    pub(super) fn note_rolling(&mut self, class: usize) {
-        self.classes[class].rolling_until = self.now + ROLLING;
-    }
 }
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -7,6 +7,8 @@
 
 use crate::{clock, id, invariant, view};
 
+use super::note;
+
 /// Something that happened outside.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -47,11 +49,15 @@
 pub enum Reply {
     /// The server ran it and its whole answer is here.
     Answered(Part),
+    /// The server ran it and says that it failed; its answer can be handed on.
+    Failed,
     /// The server refused it before running it.
     Refused {
         /// When the server wants to be asked again, from now.
         retry_after: Option<clock::Millis>,
     },
+    /// Another server has the address now, and it did not run the request.
+    Misdirected,
     /// The server knows its key: the request runs or ran before, perhaps through another host.
     Duplicate,
     /// Proof that no byte of it reached the server.
@@ -96,6 +102,8 @@
     Revalidate,
     /// Log and count a promise that did not hold.
     Breach(invariant::Breach),
+    /// Log a decision.
+    Note(note::Note),
 }
 
 /// An attempt to send.
@@ -109,6 +117,8 @@
     pub caller: id::Caller,
     /// Where it goes.
     pub server: id::Server,
+    /// That server's name.
+    pub name: CompactString,
     /// That server's address, `IP:PORT`.
     pub address: CompactString,
     /// The shard to ask.
@@ -121,6 +131,11 @@
     pub epoch: u64,
     /// The snapshot to answer from, if the server still holds it.
     pub want: Option<view::Snapshot>,
+    /// What the answer to the caller is made of.
+    pub shape: view::Shape,
+    /// Whether the request may run twice. If not, a connection that may have gone bad while it was
+    /// idle is not worth the risk of an unknown end.
+    pub idempotent: bool,
 }
 
 /// What is known of a request's fate.
@@ -135,13 +150,20 @@
     Unknown,
 }
 
-impl fmt::Display for Outcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Outcome {
+    /// The outcome as in answers, logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::Answered => "answered",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
@@ -153,8 +175,10 @@
     Ok,
     /// The least coverage was met; some shards are missing.
     Partial,
-    /// No selector has this name.
+    /// No selector has this name, or no route leads there.
     UnknownClass,
+    /// No configuration is known yet.
+    Starting,
     /// The request gives no time at all.
     DeadlinePassed,
     /// Too many shards have no server that takes new work.
@@ -173,6 +197,8 @@
     DuplicateKey,
     /// Its only attempt came to an unknown end.
     AttemptLost,
+    /// The server ran it and failed; its own answer is handed on.
+    ServerFailed,
     /// The caller hung up.
     CallerGone,
     /// A promise would have been broken; the answer was withheld.
@@ -186,6 +212,7 @@
             Self::Ok => "ok",
             Self::Partial => "partial",
             Self::UnknownClass => "unknown_class",
+            Self::Starting => "starting",
             Self::DeadlinePassed => "deadline_passed",
             Self::NoReplica => "no_replica",
             Self::Overloaded => "overloaded",
@@ -195,6 +222,7 @@
             Self::Revalidating => "revalidating",
             Self::DuplicateKey => "duplicate_key",
             Self::AttemptLost => "attempt_lost",
+            Self::ServerFailed => "server_failed",
             Self::CallerGone => "caller_gone",
             Self::Withheld => "withheld",
         }
@@ -206,6 +234,7 @@
             Self::Ok => "The answer is complete.",
             Self::Partial => "The answer lacks the shards listed as missing.",
             Self::UnknownClass => "No selector has this name; `shallotctl explain` lists them.",
+            Self::Starting => "This host knows no configuration yet; come back later.",
             Self::DeadlinePassed => "The request's deadline is in the past; send one in the future.",
             Self::NoReplica => "Too many shards have no server that takes new work.",
             Self::Overloaded => "This kind of request is at its limit; come back later.",
@@ -215,6 +244,7 @@
             Self::Revalidating => "This host woke from a pause and is checking its view; ask again.",
             Self::DuplicateKey => "A request with this key is running or ran; it was not run again.",
             Self::AttemptLost => "The only attempt came to an unknown end; it was not sent again.",
+            Self::ServerFailed => "The server ran the request and failed.",
             Self::CallerGone => "The caller hung up.",
             Self::Withheld => "The answer would have broken a promise and was withheld.",
         }
@@ -246,6 +276,10 @@
     pub contributed: Vec<(CompactString, id::Attempt)>,
     /// The shards that did not contribute.
     pub missing: Vec<CompactString>,
+    /// What the answer is made of.
+    pub shape: view::Shape,
+    /// The attempt whose failure is handed on as the answer.
+    pub failure: Option<id::Attempt>,
     /// When to come back, from now; set on every refusal that may pass.
     pub retry_after: Option<clock::Millis>,
     /// What it cost.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -4,7 +4,7 @@
 
 use crate::{clock, id, invariant, mutant, view};
 
-use super::{event, query, server, summary, timer::Timer};
+use super::{event, note, query, server, summary, timer::Timer};
 
 /// Most times that a query begins anew because the shards were cut anew.
 const RESTARTS: u8 = 2;
@@ -21,9 +21,14 @@
         if let Some(query) = self.queries.get_mut(row.query.0) {
             query.parts[row.part as usize].remove_live(attempt);
         }
+        if reply != event::Reply::NotSent {
+            self.servers[row.server.index()].on_word();
+        }
         match reply {
             event::Reply::Answered(part) => self.on_part(attempt, row, part),
+            event::Reply::Failed => self.on_failed(attempt, row),
             event::Reply::Refused { retry_after } => self.on_refused(row, retry_after),
+            event::Reply::Misdirected => self.on_misdirected(row),
             event::Reply::Duplicate => self.on_duplicate(row),
             event::Reply::NotSent => self.on_not_sent(row),
             event::Reply::Lost => self.on_lost(row),
@@ -38,12 +43,16 @@
         state.holds = [Some(part.snapshot), part.held];
         self.ejected = self.ejected.saturating_sub(usize::from(was_out));
         self.release(row.server);
+        let class = row.class;
+        self.classes[class].attempts.record(took);
         let Some(query) = self.queries.get_mut(row.query.0) else {
             return;
         };
         query.may_have_run = true;
-        let class = query.class;
-        self.classes[class].attempts.record(took);
+        // An attempt that ran on after another one had answered.
+        if query.parts[row.part as usize].has_reply() && query.want.is_none() {
+            return;
+        }
         let epoch = query.selector().epoch;
         if part.snapshot.epoch != epoch {
             query.saw_epoch = Some(part.snapshot.epoch);
@@ -60,7 +69,7 @@
         self.settle(row.query);
     }
 
-    /// Gives up the other live attempts of a shard that has its reply.
+    /// Gives up the other live attempts of a shard that has its reply, or lets them run on.
     fn cancel_siblings(&mut self, query: id::Query, part: u32, snapshot: view::Snapshot) {
         let Some(row) = self.queries.get_mut(query.0) else {
             return;
@@ -70,11 +79,21 @@
         }
         let live = std::mem::take(&mut row.parts[part as usize].live);
         for attempt in live.into_iter().flatten() {
+            self.give_up(attempt);
+        }
+    }
+
+    /// Nobody needs the attempt any more. It may run on for a while, since ending it costs its
+    /// connection.
+    fn give_up(&mut self, attempt: id::Attempt) {
+        if self.policy.linger == clock::Millis::ZERO {
             self.cancel(attempt);
+            return;
         }
+        self.timers.push(self.now + self.policy.linger, Timer::Linger(attempt));
     }
 
-    fn cancel(&mut self, attempt: id::Attempt) {
+    pub(super) fn cancel(&mut self, attempt: id::Attempt) {
         let Some(row) = self.attempts.remove(attempt.0) else {
             return;
         };
@@ -84,8 +103,39 @@
         self.timers.push(self.now + self.policy.close_lag, Timer::Closed(row.server));
     }
 
+    fn note_failed(&mut self, row: query::Attempt, end: event::Reply) {
+        let caller = self.queries.get(row.query.0).map(|query| query.caller);
+        let server = self.server_name(row.server);
+        let took = self.now.since(row.sent);
+        self.note(note::Note::Failed { caller, server, end, took });
+    }
+
+    /// The server ran the request and failed. Another one may do better; what may run once has run.
+    fn on_failed(&mut self, attempt: id::Attempt, row: query::Attempt) {
+        self.stats.lost += 1;
+        self.note_failed(row, event::Reply::Failed);
+        if let Some(query) = self.queries.get_mut(row.query.0) {
+            query.may_have_run = true;
+            query.failure = Some(attempt);
+        }
+        self.note_failure(row.server);
+        self.release(row.server);
+        self.retry(row.query, row.part, false, false);
+    }
+
+    /// The server that was meant is gone, and another one has its address.
+    fn on_misdirected(&mut self, row: query::Attempt) {
+        self.stats.refused += 1;
+        self.note_failed(row, event::Reply::Misdirected);
+        self.servers[row.server.index()].is_replaced = true;
+        self.release(row.server);
+        self.requeue(row.server);
+        self.retry(row.query, row.part, true, false);
+    }
+
     fn on_refused(&mut self, row: query::Attempt, retry_after: Option<clock::Millis>) {
         self.stats.refused += 1;
+        self.note_failed(row, event::Reply::Refused { retry_after });
         self.servers[row.server.index()].on_shed(self.now, retry_after);
         self.release(row.server);
         self.retry(row.query, row.part, true, false);
@@ -102,6 +152,7 @@
 
     fn on_not_sent(&mut self, row: query::Attempt) {
         self.stats.not_sent += 1;
+        self.note_failed(row, event::Reply::NotSent);
         self.refund(row);
         self.note_failure(row.server);
         self.release(row.server);
@@ -110,17 +161,25 @@
 
     /// The attempt never reached a server, so it was no load.
     fn refund(&mut self, row: query::Attempt) {
+        let class = row.class;
         let Some(query) = self.queries.get(row.query.0) else {
             return;
         };
+        let service = query.target(row.part).service;
         if row.kind == query::Kind::Hedge {
-            let class = query.class;
             self.classes[class].hedges.refund();
         }
+        if row.is_paid {
+            self.fleet.refund(service);
+        }
+        if let Some(query) = self.queries.get_mut(row.query.0) {
+            query.parts[row.part as usize].note_unsent(row.server);
+        }
     }
 
     fn on_lost(&mut self, row: query::Attempt) {
         self.stats.lost += 1;
+        self.note_failed(row, event::Reply::Lost);
         if let Some(query) = self.queries.get_mut(row.query.0) {
             query.may_have_run = true;
         }
@@ -143,6 +202,8 @@
         self.servers[server.index()].eject(self.now, self.policy.ejection_base);
         self.ejected += 1;
         self.stats.ejections += 1;
+        let pause = self.servers[server.index()].ejected_until - self.now;
+        self.note(note::Note::Ejected { server: self.server_name(server), pause });
         self.requeue(server);
     }
 
@@ -173,14 +234,13 @@
         };
         row.restarts += 1;
         row.may_have_run = true;
-        let class = row.class;
         let parts = std::mem::take(&mut row.parts);
         self.stats.restarts += 1;
         for attempt in parts.iter().flat_map(|part| part.live).flatten() {
             self.cancel(attempt);
         }
-        for _ in 0..parts.len() {
-            if !self.spend_retry(class) {
+        for part in 0..parts.len() as u32 {
+            if !self.spend(query, part, query::Kind::Retry) {
                 self.finish_unanswered(query, event::Code::Repartitioned, Some(COME_BACK));
                 return;
             }
@@ -221,16 +281,16 @@
         let Some(row) = self.queries.get(query.0) else {
             return;
         };
-        let Some(started) = row.started else {
+        if row.started.is_none() {
             return;
-        };
+        }
         let selector = row.selector();
         let total = row.parts.len();
         let best = row.best();
         let shards = best.map_or(0, |group| group.shards);
         let is_enough = shards > 0 && selector.least_coverage.is_met(shards, total);
         let has_hits = best.zip(selector.enough_hits).is_some_and(|(group, enough)| group.hits >= enough);
-        let is_time = selector.settle.is_some_and(|settle| self.now >= started + settle);
+        let is_time = row.settle_at.is_some_and(|settle_at| self.now >= settle_at);
         if total > 0 && shards == total {
             self.finish_answered(query);
             return;
@@ -269,7 +329,6 @@
             row.want = Some(target);
             self.stats.mixed += 1;
         }
-        let class = row.class;
         for part in 0..row.parts.len() as u32 {
             let Some(server) = self.reask_server(query, part, target) else {
                 continue;
@@ -277,7 +336,7 @@
             if !self.has_room(server) {
                 continue;
             }
-            if !self.spend_retry(class) {
+            if !self.spend(query, part, query::Kind::Retry) {
                 return;
             }
             self.send(query, part, server, query::Kind::Retry);
@@ -299,11 +358,9 @@
     }
 
     fn holder(&self, row: &query::Query, part: u32, target: view::Snapshot) -> Option<id::Server> {
-        let replicas = &row.selector().targets[part as usize].replicas;
+        let replicas = &row.target(part).replicas;
         let mut holders = replicas.iter().copied().filter(|&id| {
-            self.view.is_open(id)
-                && self.servers[id.index()].holds(target)
-                && !self.servers[id.index()].is_ejected(self.now)
+            self.is_open(id) && self.servers[id.index()].holds(target) && !self.servers[id.index()].is_ejected(self.now)
         });
         holders.next()
     }
@@ -358,7 +415,7 @@
         let mut contributed = Vec::with_capacity(best.shards);
         let mut missing = Vec::new();
         let mut is_one_snapshot = true;
-        for (part, target) in row.parts.iter().zip(&row.selector().targets) {
+        for (part, target) in row.parts.iter().zip(row.targets()) {
             let got = if mutant::is(mutant::Mutant::MixSnapshots) { part.got[0] } else { part.of(best.snapshot) };
             let Some(got) = got else {
                 missing.push(target.shard.clone());
@@ -402,7 +459,9 @@
         let may_have_run = row.may_have_run || is_live;
         let is_not_run = !may_have_run || mutant::is(mutant::Mutant::AssumeNotRun);
         let outcome = if is_not_run { event::Outcome::NotRun } else { event::Outcome::Unknown };
-        let missing = row.selector().targets.iter().map(|target| target.shard.clone()).collect();
+        let is_handed_on = row.failure.is_some() && row.selector().shape == view::Shape::Whole;
+        let code = if is_handed_on { event::Code::ServerFailed } else { code };
+        let missing = row.targets().iter().map(|target| target.shard.clone()).collect();
         self.end(query, outcome, code, retry_after, None, Vec::new(), missing);
     }
 
@@ -423,8 +482,13 @@
         if self.callers.swap_remove(&row.caller) != Some(query) {
             self.breach(invariant::Name::OwnWholeAnswer, format!("{query}: {:?} has no such query", row.caller));
         }
+        let is_left = code == event::Code::CallerGone;
         for attempt in row.parts.iter().flat_map(|part| part.live).flatten() {
-            self.cancel(attempt);
+            if is_left {
+                self.cancel(attempt);
+                continue;
+            }
+            self.give_up(attempt);
         }
         self.remember_key(&row, outcome);
         self.end_run(&row, outcome);
@@ -438,6 +502,8 @@
             snapshot,
             contributed,
             missing,
+            shape: row.selector().shape,
+            failure: row.failure.filter(|_| code == event::Code::ServerFailed),
             retry_after,
             cost: row.cost,
         }));
@@ -461,7 +527,7 @@
         let took = self.now.since(started);
         let selector = row.selector();
         let usual = selector.settle.unwrap_or(selector.deadline);
-        let target = usual.scale(self.policy.latency_target.get());
+        let target = selector.aim.unwrap_or_else(|| usual.scale(self.policy.latency_target.get()));
         let is_good = outcome == event::Outcome::Answered && took <= target;
         let class = &mut self.classes[row.class];
         class.running = class.running.saturating_sub(1);
@@ -477,7 +543,7 @@
         missing: &[compact_str::CompactString],
     ) {
         let mut tried = Vec::new();
-        for (part, target) in row.parts.iter().zip(&row.selector().targets) {
+        for (part, target) in row.parts.iter().zip(row.targets()) {
             if !missing.contains(&target.shard) {
                 continue;
             }
--- /dev/null
+++ b/crates/core/src/traffic/hedge.rs
@@ -0,0 +1,112 @@
+//! Silence: when a second replica is asked, and which servers are passed over because of it.
+
+use crate::{clock, id};
+
+use super::{note, query, timer::Timer};
+
+/// Delay before a hedge while the class has no sample yet.
+const DELAY_PRIOR: clock::Millis = clock::Millis(50);
+
+impl super::Core {
+    /// Sets the timer after which silent attempts of `query` may be hedged.
+    pub(super) fn arm_hedge(&mut self, query: id::Query, since: clock::Millis) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let selector = row.selector();
+        if !selector.hedge || !selector.idempotent || self.policy.hedge_fraction <= 0.0 {
+            return;
+        }
+        let delay = self.hedge_delay(row.class, selector.aim);
+        self.timers.push(since + delay, Timer::Hedge(query));
+    }
+
+    /// After how long an attempt counts as silent. Where there is an aim, no later than leaves half of
+    /// it for the hedge.
+    fn hedge_delay(&self, class: usize, aim: Option<clock::Millis>) -> clock::Millis {
+        let usual = self.classes[class].attempts.quantile(self.policy.hedge_quantile);
+        let latest = aim.map_or(clock::Millis::MAX, |aim| clock::Millis(aim.0 / 2));
+        usual.unwrap_or(DELAY_PRIOR).min(latest).max(self.policy.hedge_floor)
+    }
+
+    /// Asks a second replica for shards that are silent for longer than most.
+    pub(super) fn hedge(&mut self, query: id::Query) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let class = row.class;
+        let delay = self.hedge_delay(class, row.selector().aim);
+        let mut next: Option<clock::Millis> = None;
+        for part in 0..row.parts.len() as u32 {
+            let Some(sent) = self.silent_since(query, part) else {
+                continue;
+            };
+            if self.now.since(sent) < delay {
+                next = Some(next.map_or(sent, |held| held.min(sent)));
+                continue;
+            }
+            self.note_silent(query, part, sent);
+            if !self.hedge_part(query, part) {
+                next = Some(self.now);
+            }
+        }
+        if let Some(since) = next {
+            self.arm_hedge(query, since);
+        }
+    }
+
+    /// The server of a silent attempt is passed over by the queries to come. A pause of a server is
+    /// longer than most searches, so what one query waits for in vain, the next ones need not.
+    fn note_silent(&mut self, query: id::Query, part: u32, sent: clock::Millis) {
+        let Some(row) = self.queries.get(query.0) else {
+            return;
+        };
+        let live = row.parts[part as usize].live.iter().flatten().next();
+        let Some(server) = live.and_then(|attempt| self.attempts.get(attempt.0)).map(|attempt| attempt.server) else {
+            return;
+        };
+        let pause = self.servers[server.index()].note_silent(self.now, self.policy.silence);
+        if let Some(pause) = pause {
+            let silent_for = self.now.since(sent);
+            self.note(note::Note::Silent { server: self.server_name(server), silent_for, pause });
+        }
+    }
+
+    /// When the only live attempt of a shard without a reply was sent.
+    fn silent_since(&self, query: id::Query, part: u32) -> Option<clock::Millis> {
+        let state = &self.queries.get(query.0)?.parts[part as usize];
+        if state.has_reply() || state.live_count() != 1 {
+            return None;
+        }
+        let attempt = state.live.iter().flatten().next()?;
+        self.attempts.get(attempt.0).map(|attempt| attempt.sent)
+    }
+
+    /// Sends one hedge, if another replica has room right now and the budget allows; never into a
+    /// queue, where it would only add load to servers that are already behind.
+    fn hedge_part(&mut self, query: id::Query, part: u32) -> bool {
+        let Some(server) = self.choose(query, part) else {
+            return true;
+        };
+        let Some(row) = self.queries.get(query.0) else {
+            return true;
+        };
+        if row.parts[part as usize].was_tried(server) {
+            return true;
+        }
+        if !self.has_room(server) || self.servers[server.index()].waiting_len() > 0 {
+            return false;
+        }
+        if !self.spend(query, part, query::Kind::Hedge) {
+            return false;
+        }
+        self.note_extra(query, part, server, note::Cause::Silence);
+        self.send(query, part, server, query::Kind::Hedge);
+        true
+    }
+
+    /// An attempt whose shard has its reply has run on for long enough; its connection goes.
+    pub(super) fn on_linger_end(&mut self, attempt: id::Attempt) {
+        self.cancel(attempt);
+    }
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,18 +2,23 @@
 //!
 //! [`Core::step`] takes a batch of inputs and runs the systems over the tables in one fixed order:
 //! pause guard, timers, inputs, admission. Outputs are collected in the order in which the shell
-//! must carry them out. A view that leads the batch is taken before the timers. One core serves one traffic thread and shares nothing with another.
+//! must carry them out. A view that leads the batch is taken before the timers. One core serves one
+//! traffic thread and shares nothing with another.
 //!
-//! The systems stand in modules of their own: [`admit`] (limits and refusals), [`dispatch`]
-//! (replica choice, queues at servers, hedges, retries) and [`gather`] (snapshots, coverage,
-//! answers).
+//! The systems stand in modules of their own: [`admit`] (limits and refusals), [`choose`] (which
+//! replica), [`dispatch`] (sending, queues at servers, retries), [`hedge`] (silence) and [`gather`]
+//! (snapshots, coverage, answers).
 
 mod admit;
+mod choose;
 mod class;
 mod dispatch;
 pub mod event;
+mod fleet;
 mod gather;
+mod hedge;
 mod key;
+pub mod note;
 pub mod policy;
 mod query;
 mod server;
@@ -65,6 +70,7 @@
     attempts: table::Table<query::Attempt>,
     timers: timer::Heap,
     keys: key::Memory,
+    fleet: fleet::Fleet,
     ejected: usize,
     /// Set from a pause until control confirmed the view.
     paused_at: Option<clock::Millis>,
@@ -78,6 +84,7 @@
 impl Core {
     /// A core with an empty view, at the instant `now`.
     pub fn new(policy: policy::Policy, lane: Lane, seed: u64, now: clock::Millis) -> Self {
+        let fleet = fleet::Fleet::new(policy.fleet);
         Self {
             policy,
             lane,
@@ -91,6 +98,7 @@
             attempts: table::Table::default(),
             timers: timer::Heap::default(),
             keys: key::Memory::default(),
+            fleet,
             ejected: 0,
             paused_at: None,
             is_holding: false,
@@ -103,9 +111,10 @@
     /// Runs the systems once. `now` must not be earlier than in the step before.
     pub fn step(&mut self, now: clock::Millis, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         let is_pause = self.is_pause(now);
+        let gap = now.since(self.now);
         self.now = now.max(self.now);
         if is_pause {
-            self.on_pause();
+            self.on_pause(gap);
         }
         let mut inputs = inputs.into_iter().peekable();
         // A view goes before the timers: a hedge or retry that is due in this very step would
@@ -143,6 +152,11 @@
         }
     }
 
+    /// Whether `query` has no answer yet.
+    pub fn is_live(&self, query: id::Query) -> bool {
+        self.queries.get(query.0).is_some()
+    }
+
     /// The summary of a query that ended lately, by id.
     pub fn summary(&self, query: id::Query) -> Option<&summary::Summary> {
         self.recent.find(query)
@@ -162,7 +176,7 @@
     /// What expired meanwhile ends first, before a retry or hedge that was due earlier than the
     /// deadline could still send it. Nothing at all is sent on the old view until control confirmed
     /// it or the grace is over.
-    fn on_pause(&mut self) {
+    fn on_pause(&mut self, gap: clock::Millis) {
         self.stats.pauses += 1;
         self.paused_at = Some(self.now);
         self.is_holding = true;
@@ -172,6 +186,7 @@
                 expired.push(id::Query(key));
             }
         }
+        self.note(note::Note::Paused { gap, expired: expired.len() });
         for query in expired {
             self.on_deadline(query);
         }
@@ -188,6 +203,7 @@
                 Timer::Retry(query, part) => self.on_backoff_end(query, part),
                 Timer::Pump(server) => self.pump(server),
                 Timer::Closed(server) => self.release(server),
+                Timer::Linger(attempt) => self.on_linger_end(attempt),
                 Timer::Resume => self.resume(),
             }
         }
@@ -212,10 +228,14 @@
             return;
         }
         self.view = view;
+        self.fleet.set_sharers(self.view.hosts.saturating_mul(self.lane.count));
         self.servers.resize_with(self.view.servers.len().max(self.servers.len()), Default::default);
         for index in 0..self.servers.len() {
             self.refresh_server(id::Server(index as u32));
         }
+        let servers = self.view.servers.iter().flatten().count();
+        let leaving = self.view.servers.iter().flatten().filter(|server| server.leaving).count();
+        self.note(note::Note::View { servers, leaving });
     }
 
     fn refresh_server(&mut self, id: id::Server) {
@@ -253,6 +273,15 @@
         self.resume();
     }
 
+    fn note(&mut self, note: note::Note) {
+        self.outputs.push(Output::Note(note));
+    }
+
+    /// The name of a server, for logs.
+    fn server_name(&self, server: id::Server) -> CompactString {
+        self.view.server(server).map(|server| server.name.clone()).unwrap_or_default()
+    }
+
     fn breach(&mut self, name: invariant::Name, detail: String) {
         self.stats.breaches += 1;
         self.outputs.push(Output::Breach(invariant::Breach { name, detail }));
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -31,6 +31,9 @@
     pub ejection_failures: u32,
     /// Whether a replica is chosen by own evidence (two random choices); else at random.
     pub two_choices: bool,
+    /// Whether a replica that cannot take an attempt at once is passed over for one that can. Default
+    /// false.
+    pub prefer_room: bool,
     /// Weight of the load that a server reports, aged by its half-life. Default 0: it lags and
     /// misleads, and own evidence did better (see `docs/MEASUREMENTS.md`).
     pub reported_load_weight: f64,
@@ -60,6 +63,35 @@
     pub close_lag: clock::Millis,
     /// Whether shards that answered from another snapshot are asked again. Default true.
     pub reask: bool,
+    /// Time that an answer needs on its way to the caller, in ms; no attempt is given the very end of
+    /// a caller's time. Default 2.
+    pub margin: clock::Millis,
+    /// Time before the aim at which an answer must leave to be in time, in ms: the way of the request
+    /// to this host, which the host does not see, and the way back. Default 10.
+    pub aim_margin: clock::Millis,
+    /// How long an attempt may run on after its shard has another reply, in ms. Ending it at once
+    /// costs its connection, which takes longer to open than most answers; 0 ends it at once, which
+    /// frees the server. Default 0.
+    pub linger: clock::Millis,
+    /// First time that a server is passed over after it was silent for longer than most, in ms;
+    /// doubles while it stays silent. 0 passes over none. Default 0.
+    pub silence: clock::Millis,
+    /// Replicas whose expected time is within this factor of the best are equal, and chance decides:
+    /// small differences are noise, and all would follow it to one server. Default 1.
+    pub score_band: f64,
+    /// This host's part of the bound on extra attempts that all hosts together must keep for each
+    /// service. Default none.
+    pub fleet: Option<Fleet>,
+}
+
+/// A bound on extra attempts at one service, over all hosts and any window of time.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Extra attempts allowed for each request.
+    pub ratio: f64,
+    /// Extra attempts allowed besides, by all hosts together.
+    pub slack: f64,
 }
 
 impl Default for Policy {
@@ -76,6 +108,7 @@
             ejection_ceiling: ratio::Ratio::try_from(0.5).unwrap_or_default(),
             ejection_failures: 3,
             two_choices: true,
+            prefer_room: false,
             reported_load_weight: 0.0,
             adaptive_admission: true,
             latency_target: ratio::Ratio::try_from(0.4).unwrap_or_default(),
@@ -88,6 +121,12 @@
             key_ceiling: 65_536,
             close_lag: clock::Millis(20),
             reask: true,
+            margin: clock::Millis(2),
+            aim_margin: clock::Millis(10),
+            linger: clock::Millis::ZERO,
+            silence: clock::Millis::ZERO,
+            score_band: 1.0,
+            fleet: None,
         }
     }
 }
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -28,9 +28,13 @@
     pub(crate) got: [Option<Got>; 2],
     pub(crate) live: [Option<id::Attempt>; LIVE],
     pub(crate) tried: [Option<id::Server>; TRIED],
+    /// Of these, the ones that no attempt reached.
+    pub(crate) unsent: [Option<id::Server>; TRIED],
     pub(crate) tries: u8,
     /// Times that it waited for the retry budget.
     pub(crate) waits: u8,
+    /// Whether tokens were spent on its next attempt.
+    pub(crate) is_paid: bool,
     /// Whether its backoff ends with a token of the budget or in another wait.
     pub(crate) needs_budget: bool,
     /// Waits for room at a server or for the end of a backoff.
@@ -65,6 +69,22 @@
         self.tried.contains(&Some(server))
     }
 
+    /// Different servers that an attempt may have reached.
+    pub(crate) fn servers(&self) -> usize {
+        let mut count = 0;
+        for (place, server) in self.tried.iter().enumerate() {
+            let is_new = server.is_some() && !self.tried[..place].contains(server);
+            count += usize::from(is_new && !self.unsent.contains(server));
+        }
+        count
+    }
+
+    /// Nothing of an attempt reached `server`.
+    pub(crate) fn note_unsent(&mut self, server: id::Server) {
+        self.unsent.rotate_right(1);
+        self.unsent[0] = Some(server);
+    }
+
     pub(crate) fn add_live(&mut self, attempt: id::Attempt) {
         for row in &mut self.live {
             if row.is_none() {
@@ -100,10 +120,16 @@
     /// The view with which it began, and the selector's place in it.
     pub(crate) view: Arc<view::View>,
     pub(crate) selector: usize,
+    /// The alternative that it goes to.
+    pub(crate) branch: usize,
     pub(crate) key: Option<CompactString>,
     pub(crate) arrived: clock::Millis,
     pub(crate) deadline: clock::Millis,
     pub(crate) started: Option<clock::Millis>,
+    /// When an answer with the least coverage may go out although shards are silent.
+    pub(crate) settle_at: Option<clock::Millis>,
+    /// A server's own failure, to be handed on if nothing better comes.
+    pub(crate) failure: Option<id::Attempt>,
     pub(crate) parts: Vec<Part>,
     pub(crate) groups: Vec<Group>,
     pub(crate) want: Option<view::Snapshot>,
@@ -122,6 +148,15 @@
         &self.view.classes[self.selector]
     }
 
+    /// The shards that it asks.
+    pub(crate) fn targets(&self) -> &[view::Target] {
+        self.selector().branches.get(self.branch).map_or(&[], |branch| &branch.targets)
+    }
+
+    pub(crate) fn target(&self, part: u32) -> &view::Target {
+        &self.targets()[part as usize]
+    }
+
     /// The group with most shards, the newest of equals.
     pub(crate) fn best(&self) -> Option<Group> {
         self.groups.iter().max_by_key(|group| (group.shards, group.snapshot)).copied()
@@ -179,6 +214,10 @@
     pub(crate) server: id::Server,
     pub(crate) sent: clock::Millis,
     pub(crate) kind: Kind,
+    /// Row in the table of classes; the query may have ended before the attempt does.
+    pub(crate) class: usize,
+    /// Whether tokens of the budgets were spent on it.
+    pub(crate) is_paid: bool,
 }
 
 /// Why an attempt is made.
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -20,6 +20,8 @@
 const SHED_PAUSE_MAX: clock::Millis = clock::Millis(1000);
 /// Most doublings of the time out of use.
 const EJECTION_DOUBLINGS: u32 = 5;
+/// Most doublings of the time that a silent server is passed over.
+const SILENCE_DOUBLINGS: u32 = 4;
 /// Age at which a reported load counts half, in ms.
 const LOAD_HALF_LIFE: f64 = 200.0;
 
@@ -41,6 +43,11 @@
     pub(crate) holds: [Option<view::Snapshot>; 2],
     pub(crate) waiting: [VecDeque<Wait>; view::Class::PRIORITIES],
     pub(crate) ejected_until: clock::Millis,
+    /// Another server was found at its address; nothing is sent there until the view changes.
+    pub(crate) is_replaced: bool,
+    /// Until when it is passed over because attempts were silent, and how often in a row.
+    silent_until: clock::Millis,
+    silences: u32,
     limit: f64,
     latency: f64,
     answered: u64,
@@ -60,6 +67,9 @@
             holds: [None; 2],
             waiting: Default::default(),
             ejected_until: clock::Millis::ZERO,
+            is_replaced: false,
+            silent_until: clock::Millis::ZERO,
+            silences: 0,
             limit: COLD_LIMIT,
             latency: LATENCY_PRIOR,
             answered: 0,
@@ -94,6 +104,29 @@
         self.ejected_until > now
     }
 
+    pub(crate) fn is_silent(&self, now: clock::Millis) -> bool {
+        self.silent_until > now
+    }
+
+    /// An attempt has been silent for longer than most. The server is passed over by all queries
+    /// until it speaks, or for a pause that doubles each time that an attempt after it is silent too.
+    /// The pause, if it begins now.
+    pub(crate) fn note_silent(&mut self, now: clock::Millis, base: clock::Millis) -> Option<clock::Millis> {
+        if base == clock::Millis::ZERO || self.is_silent(now) {
+            return None;
+        }
+        let pause = clock::Millis(base.0 << self.silences.min(SILENCE_DOUBLINGS));
+        self.silent_until = now + pause;
+        self.silences += 1;
+        Some(pause)
+    }
+
+    /// The server said something, whatever it was.
+    pub(crate) fn on_word(&mut self) {
+        self.silent_until = clock::Millis::ZERO;
+        self.silences = 0;
+    }
+
     pub(crate) fn shed_until(&self) -> clock::Millis {
         self.shed_until
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::{clock, id, ratio};
+use crate::{clock, id, ratio, route};
 
 /// The identity of a configuration: versions rise, and the digest decides between two documents
 /// that operators raced to publish under one version, alike on every host.
@@ -102,10 +102,37 @@
 pub struct Target {
     /// The shard's name.
     pub shard: CompactString,
+    /// The service whose retry budget its extra attempts draw on.
+    pub service: id::Service,
     /// Its replicas that match the selector, leaving ones included.
     pub replicas: Vec<id::Server>,
 }
 
+/// One of the alternatives among which a class distributes its requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Branch {
+    /// Its part of the requests, in proportion to the sum of all weights.
+    pub weight: f64,
+    /// The shards to ask, all of them.
+    pub targets: Vec<Target>,
+}
+
+/// What an answer is made of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    /// The shards' hits, each under its shard's name.
+    #[default]
+    Hits,
+    /// The greatest records of all shards, merged.
+    Records {
+        /// How many.
+        top: u32,
+    },
+    /// One server's answer, handed on whole.
+    Whole,
+}
+
 /// A compiled selector: a kind of request and what it may tolerate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -113,10 +140,16 @@
     pub name: CompactString,
     /// The service that it reaches.
     pub service: CompactString,
-    /// The partition epoch in which `targets` are valid.
+    /// The partition epoch in which the targets are valid.
     pub epoch: u64,
     /// Longest time to an answer.
     pub deadline: clock::Millis,
+    /// Time within which an answer is worth most, counted from the caller's first attempt.
+    pub aim: Option<clock::Millis>,
+    /// What an answer is made of.
+    pub shape: Shape,
+    /// Most servers to which a request may be sent for one shard; `None` leaves it to the policy.
+    pub servers_most: Option<u8>,
     /// When an answer with at least `least_coverage` may go out although shards are silent.
     pub settle: Option<clock::Millis>,
     /// Least share of shards for an answer.
@@ -129,8 +162,8 @@
     pub hedge: bool,
     /// 0 is served first, [`Class::PRIORITIES`] - 1 last.
     pub priority: u8,
-    /// The shards to ask, all of them.
-    pub targets: Vec<Target>,
+    /// The alternatives; a request goes to one of them and is never moved to another.
+    pub branches: Vec<Branch>,
 }
 
 impl Class {
@@ -149,6 +182,12 @@
     pub hosts: u32,
     /// Compiled selectors by name.
     pub classes: IndexMap<CompactString, Class>,
+    /// Where requests that name a host and a path go.
+    pub routes: route::Table,
+    /// Bounds on what a caller may send, if the configuration gives them.
+    pub limits: Option<route::Limits>,
+    /// The configuration's own number, for logs; 0 if it has none besides the stamp.
+    pub number: u64,
     /// Servers by [`id::Server`]; `None` where a registered server is not published any more.
     pub servers: Vec<Option<Server>>,
 }
@@ -169,6 +208,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     servers: IndexSet<CompactString>,
+    services: IndexSet<CompactString>,
     leaving: IndexSet<(id::Server, u64)>,
 }
 
@@ -179,6 +219,12 @@
         id::Server(index as u32)
     }
 
+    /// The index of the service called `name`, the same for the life of the process.
+    pub fn intern_service(&mut self, name: &str) -> id::Service {
+        let (index, _) = self.services.insert_full(CompactString::from(name));
+        id::Service(index as u32)
+    }
+
     /// The number of servers ever seen.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/core/tests/driver/world.rs
+++ b/crates/core/tests/driver/world.rs
@@ -297,7 +297,7 @@
             event::Output::Revalidate => {
                 self.at(self.now, Happening::Control { host, life, input: control::Input::Revalidate });
             }
-            event::Output::Trim { .. } => {}
+            event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
                 self.judge.breach(breach.name.as_str(), format!("by the program: {}", breach.detail));
             }
@@ -429,6 +429,10 @@
             control::Output::Refused { stamp, .. } => {
                 self.judge.breach("accepted", format!("host {host} refused {stamp}"));
             }
+            control::Output::Note(_) => {}
+            control::Output::List { .. } | control::Output::Follow { .. } => {
+                self.judge.breach("source", "documents are not listed".to_owned());
+            }
             control::Output::Breach(breach) => {
                 self.judge.breach(breach.name.as_str(), format!("by the program: {}", breach.detail));
             }
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
-use shallothub_core::{clock, ratio, view};
+use shallothub_core::{clock, id, ratio, view};
 
 /// Deadline of the selector.
 pub const DEADLINE: clock::Millis = clock::Millis(250);
@@ -27,10 +27,23 @@
         idempotent: true,
         hedge: false,
         priority: 0,
-        targets: vec![view::Target { shard: CompactString::const_new("a"), replicas }],
+        branches: vec![view::Branch {
+            weight: 1.0,
+            targets: vec![view::Target { shard: CompactString::const_new("a"), service: id::Service(0), replicas }],
+        }],
+        aim: None,
+        shape: view::Shape::Hits,
+        servers_most: None,
     };
     let stamp = view::Stamp { version: 1, digest: 1 };
     let mut classes = IndexMap::new();
     classes.insert(class.name.clone(), class);
-    Arc::new(view::View { stamp, hosts_revision: stamp, hosts: 1, classes, servers: vec![Some(server)] })
+    Arc::new(view::View {
+        stamp,
+        hosts_revision: stamp,
+        hosts: 1,
+        classes,
+        servers: vec![Some(server)],
+        ..view::View::default()
+    })
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -3,19 +3,22 @@
 pub(crate) mod peer;
 mod platform;
 
-use std::{sync::Arc, thread};
+use std::{cell::RefCell, rc::Rc, str, sync::Arc, thread};
 
 use compact_str::{CompactString, format_compact};
-use shallothub_core::{catalog, clock, control};
-use shallothub_settings::document;
+use shallothub_core::{catalog, clock, control, control::mirror, control::note};
 use shallothub_wire as wire;
 use snafu::ResultExt;
 use tokio::{runtime, sync::mpsc, task, time::sleep};
 
 use crate::{error, shared, time};
 
-/// Time between two steps when nothing happens.
-const TICK: clock::Millis = clock::Millis(100);
+/// Longest time between two steps.
+const TICK: clock::Millis = clock::Millis(250);
+/// Largest answer of a registry, in bytes: a page or a batch of changes, base64 included.
+const REGISTRY_BYTES: usize = 16 << 20;
+/// Longest time between two publications of the node's status when nothing happens.
+const PUBLISH: clock::Millis = clock::Millis(1000);
 /// Faults of a refused document that `status` shows.
 const FAULTS_SHOWN: usize = 20;
 
@@ -46,6 +49,10 @@
     core: control::Core,
     senders: peer::Senders,
     refused: Vec<CompactString>,
+    /// The connection on which changes are waited for, and the task that does.
+    follower: Rc<RefCell<platform::Client>>,
+    following: Option<task::AbortHandle>,
+    published_at: clock::Millis,
 }
 
 impl Thread {
@@ -59,13 +66,26 @@
         };
         let seed = catalog::Digest::of(&settings.name).0 ^ shared.origin.start();
         let now = shared.origin.now();
-        let core = control::Core::new(settings.control.clone(), identity, document::READER, seed, now);
-        Self { shared, core, senders: peer::Senders::default(), refused: Vec::new() }
+        let core = control::Core::new(settings.control.clone(), identity, shared.interface.reader, seed, now);
+        Self {
+            shared,
+            core,
+            senders: peer::Senders::default(),
+            refused: Vec::new(),
+            follower: Rc::default(),
+            following: None,
+            published_at: clock::Millis::ZERO,
+        }
     }
 
     async fn run(mut self, mut words: mpsc::UnboundedReceiver<shared::ToControl>) {
         loop {
             let mut inputs = Vec::new();
+            let now = self.shared.origin.now();
+            let wait = match self.shared.interface.registry {
+                Some(_) => self.core.next_timer().since(now).clamp(clock::Millis(1), PUBLISH),
+                None => TICK,
+            };
             tokio::select! {
                 word = words.recv() => {
                     let Some(word) = word else { return };
@@ -74,13 +94,21 @@
                         self.take(word, &mut inputs);
                     }
                 }
-                () = sleep(time::duration(TICK)) => inputs.push(control::Input::Tick),
+                () = sleep(time::duration(wait)) => inputs.push(control::Input::Tick),
             }
             let now = self.shared.origin.now();
-            for output in self.core.step(now, inputs) {
+            let outputs = self.core.step(now, inputs);
+            let has_news = outputs
+                .iter()
+                .any(|output| matches!(output, control::Output::View(_) | control::Output::Refused { .. }));
+            // Published before the lanes hear of it, so that who is told that the node is ready finds it so.
+            if has_news || now.since(self.published_at) >= PUBLISH {
+                self.published_at = now;
+                self.publish();
+            }
+            for output in outputs {
                 self.carry_out(output);
             }
-            self.publish();
         }
     }
 
@@ -107,12 +135,21 @@
             control::Output::ReadManifest(kind) => self.read_manifest(kind),
             control::Output::Watch { kind, after } => self.watch(kind, after),
             control::Output::ReadPart { kind, key } => self.read_part(kind, key),
+            control::Output::List { after } => self.list(after),
+            control::Output::Follow { ticket, after, wait } => self.follow(ticket, after, wait),
+            control::Output::Note(note) => log(&note),
             control::Output::Send { to, message } => {
                 let bytes = self.senders.send(&to, &message);
                 self.shared.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(bytes as u64);
             }
             control::Output::View(view) => {
-                tracing::info!(stamp = %view.stamp, hosts = %view.hosts_revision, "a view is in force");
+                tracing::info!(
+                    stamp = %view.stamp,
+                    hosts = %view.hosts_revision,
+                    number = view.number,
+                    entry_hosts = view.hosts,
+                    "a view is in force"
+                );
                 for lane in &self.shared.lanes {
                     lane.send(shared::ToLane::View(Arc::clone(&view))).ok();
                 }
@@ -158,8 +195,9 @@
         let address = self.shared.settings.platform;
         let words = self.shared.control.clone();
         task::spawn_local(async move {
-            let text = match platform::get(address, &path, wait).await {
-                Ok(text) => Some(text),
+            let mut client = platform::Client::default();
+            let text = match client.get(address, &path, wait, catalog::VALUE_MAX).await {
+                Ok(answer) => text(&path, &answer),
                 Err(error) if error.is_fault() => {
                     tracing::warn!(detail = %error, "refused a value");
                     None
@@ -173,6 +211,64 @@
         });
     }
 
+    fn list(&self, after: Option<CompactString>) {
+        let Some(registry) = self.shared.interface.registry else {
+            return;
+        };
+        let path = registry.list(after.as_deref());
+        let address = self.shared.settings.platform;
+        let words = self.shared.control.clone();
+        task::spawn_local(async move {
+            let mut client = platform::Client::default();
+            let answer = client.get(address, &path, clock::Millis::ZERO, REGISTRY_BYTES).await;
+            let page = match answer {
+                Ok(answer) if answer.status == http::StatusCode::OK => match registry.page(&answer.body) {
+                    Ok(page) => Some(page),
+                    Err(problem) => {
+                        tracing::warn!(detail = problem, "a page of the registry cannot be read");
+                        None
+                    }
+                },
+                Ok(answer) => {
+                    tracing::info!(status = answer.status.as_u16(), "the registry refused a read");
+                    None
+                }
+                Err(error) => {
+                    tracing::info!(detail = %error, "the registry did not answer a read");
+                    None
+                }
+            };
+            words.send(shared::ToControl::Input(control::Input::Page(page))).ok();
+        });
+    }
+
+    fn follow(&mut self, ticket: u64, after: u64, wait: clock::Millis) {
+        let Some(registry) = self.shared.interface.registry else {
+            return;
+        };
+        if let Some(following) = self.following.take() {
+            following.abort();
+        }
+        let path = registry.follow(after, wait);
+        let address = self.shared.settings.platform;
+        let words = self.shared.control.clone();
+        let follower = Rc::clone(&self.follower);
+        let task = task::spawn_local(async move {
+            let mut client = follower.take();
+            let answer = client.get(address, &path, wait, REGISTRY_BYTES).await;
+            let changes = match answer {
+                Ok(answer) => changes(registry, &answer),
+                Err(error) => {
+                    tracing::info!(detail = %error, "the registry did not answer");
+                    mirror::Changes::Failed
+                }
+            };
+            follower.replace(client);
+            words.send(shared::ToControl::Input(control::Input::Changes { ticket, changes })).ok();
+        });
+        self.following = Some(task.abort_handle());
+    }
+
     fn publish(&self) {
         let stats = self.core.stats();
         self.shared.metrics.set_control(&stats);
@@ -187,7 +283,56 @@
             watcher: self.core.is_watcher(),
             refused: self.refused.clone(),
             control: stats,
+            has_view: self.core.view().is_some(),
             classes: classes.unwrap_or_default(),
         }));
     }
 }
+
+fn text(path: &str, answer: &platform::Answer) -> Option<Arc<str>> {
+    if answer.status != http::StatusCode::OK {
+        tracing::debug!(path, status = answer.status.as_u16(), "the platform refused a read");
+        return None;
+    }
+    match str::from_utf8(&answer.body) {
+        Ok(text) => Some(Arc::from(text)),
+        Err(error) => {
+            tracing::warn!(path, detail = %error, "refused a value that is not UTF-8");
+            None
+        }
+    }
+}
+
+fn changes(registry: &dyn wire::seam::Registry, answer: &platform::Answer) -> mirror::Changes {
+    let is_answer = matches!(answer.status, http::StatusCode::OK | http::StatusCode::GONE);
+    if !is_answer {
+        tracing::info!(status = answer.status.as_u16(), "the registry refused to tell changes");
+        return mirror::Changes::Failed;
+    }
+    match registry.changes(answer.status, &answer.body) {
+        Ok(changes) => changes,
+        Err(problem) => {
+            tracing::warn!(detail = problem, "changes of the registry cannot be read");
+            mirror::Changes::Failed
+        }
+    }
+}
+
+/// Writes an event to the log.
+fn log(note: &note::Note) {
+    match note {
+        note::Note::SourceLost { at } => tracing::warn!(at, "lost the registry"),
+        note::Note::SourceBack { at } => tracing::info!(at, "the registry is back"),
+        note::Note::HistoryGone { at } => tracing::info!(at, "the registry forgot its history; reading it whole"),
+        note::Note::FromPeer { from, stamp } => {
+            tracing::info!(peer = %from, stamp = %stamp, "took a catalog of a peer")
+        }
+        note::Note::Joined { name, known } => tracing::info!(peer = %name, known, "heard of a host"),
+        note::Note::Forgotten { known } => tracing::info!(known, "forgot silent hosts"),
+        note::Note::Held { server, span } => {
+            tracing::info!(%server, hold_ms = span.0, "a server is missing from the list and held");
+        }
+        note::Note::Gone { servers } => tracing::info!(servers = servers.join(","), "missing servers are gone"),
+        note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "left an entry out"),
+    }
+}
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -1,17 +1,25 @@
-//! Calls of the platform's configuration service.
+//! Calls of the platform's configuration service or registry.
+//!
+//! A connection is kept from call to call. It may go silent for good without a reset, and a watch that
+//! waits on it would then wait in vain, so the kernel probes it while it is idle.
 
-use std::{io, net, str, sync::Arc, time as std_time};
+use std::{io, net, time as std_time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt;
-use shallothub_core::{catalog, clock};
+use shallothub_core::clock;
 use snafu::{ResultExt, Snafu};
 use tokio::{task, time::timeout};
 
 use crate::time;
 
+/// Idle time after which the kernel probes a connection, and time between probes.
+const PROBE: std_time::Duration = std_time::Duration::from_secs(1);
+/// Probes without an answer after which the connection is dead.
+const PROBES: u32 = 2;
+
 /// Longest time for a call beyond the wait of a watch.
 const PATIENCE: std_time::Duration = std_time::Duration::from_secs(2);
 
@@ -22,12 +30,8 @@
     Connect { address: net::SocketAddr, source: io::Error },
     #[snafu(display("the platform broke off at {path}"))]
     Call { path: String, source: hyper::Error },
-    #[snafu(display("the platform answered {path} with {status}"))]
-    Status { path: String, status: http::StatusCode },
-    #[snafu(display("the value at {path} is over {limit} bytes; cut it into parts, or it was broken off"))]
+    #[snafu(display("the answer to {path} is over {limit} bytes, or it was broken off"))]
     TooLarge { path: String, limit: usize },
-    #[snafu(display("the value at {path} is not UTF-8"))]
-    Text { path: String, source: str::Utf8Error },
     #[snafu(display("the platform did not answer {path} in time"))]
     Silent { path: String },
     #[snafu(display("the path {path} is no URI"))]
@@ -37,36 +41,81 @@
 impl Error {
     /// Whether the value is at fault, and not the way to it.
     pub(crate) fn is_fault(&self) -> bool {
-        matches!(self, Self::TooLarge { .. } | Self::Text { .. })
+        matches!(self, Self::TooLarge { .. })
     }
 }
 
-/// Reads or watches `path`; `wait` is the longest wait of a watch.
-pub(crate) async fn get(address: net::SocketAddr, path: &str, wait: clock::Millis) -> Result<Arc<str>, Error> {
-    let patience = PATIENCE + time::duration(wait);
-    match timeout(patience, call(address, path)).await {
-        Ok(result) => result,
-        Err(_) => SilentSnafu { path }.fail(),
+/// An answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: http::StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// A connection to the platform, opened when it is needed.
+#[derive(Debug, Default)]
+pub(crate) struct Client {
+    sender: Option<http1::SendRequest<Empty<Bytes>>>,
+}
+
+impl Client {
+    /// Gets `path`. `wait` is how long the platform may hold the answer back, and `limit` the largest
+    /// body in bytes.
+    pub(crate) async fn get(
+        &mut self,
+        address: net::SocketAddr,
+        path: &str,
+        wait: clock::Millis,
+        limit: usize,
+    ) -> Result<Answer, Error> {
+        let patience = PATIENCE + time::duration(wait);
+        let sender = self.sender.take();
+        match timeout(patience, call(address, sender, path, limit)).await {
+            Ok(Ok((sender, answer))) => {
+                self.sender = Some(sender);
+                Ok(answer)
+            }
+            Ok(Err(error)) => Err(error),
+            Err(_) => SilentSnafu { path }.fail(),
+        }
     }
 }
 
-async fn call(address: net::SocketAddr, path: &str) -> Result<Arc<str>, Error> {
-    let stream = tokio::net::TcpStream::connect(address).await.context(ConnectSnafu { address })?;
-    let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.context(CallSnafu { path })?;
-    task::spawn_local(connection);
+async fn call(
+    address: net::SocketAddr,
+    kept: Option<http1::SendRequest<Empty<Bytes>>>,
+    path: &str,
+    limit: usize,
+) -> Result<(http1::SendRequest<Empty<Bytes>>, Answer), Error> {
+    let mut sender = match ready(kept).await {
+        Some(sender) => sender,
+        None => connect(address, path).await?,
+    };
     let request = http::Request::get(path).header(http::header::HOST, address.to_string());
     let request = request.body(Empty::<Bytes>::new()).context(UriSnafu { path })?;
     let response = sender.send_request(request).await.context(CallSnafu { path })?;
     let status = response.status();
-    if status != http::StatusCode::OK {
-        return StatusSnafu { path, status }.fail();
-    }
-    let body = Limited::new(response.into_body(), catalog::VALUE_MAX).collect().await;
+    let body = Limited::new(response.into_body(), limit).collect().await;
     let Ok(body) = body else {
-        return TooLargeSnafu { path, limit: catalog::VALUE_MAX }.fail();
+        return TooLargeSnafu { path, limit }.fail();
     };
-    let bytes = body.to_bytes();
-    let text = str::from_utf8(&bytes).context(TextSnafu { path })?;
-    Ok(Arc::from(text))
+    Ok((sender, Answer { status, body: body.to_bytes() }))
+}
+
+/// The kept connection, if it can still be used.
+async fn ready(kept: Option<http1::SendRequest<Empty<Bytes>>>) -> Option<http1::SendRequest<Empty<Bytes>>> {
+    let mut sender = kept?;
+    sender.ready().await.ok()?;
+    Some(sender)
+}
+
+async fn connect(address: net::SocketAddr, path: &str) -> Result<http1::SendRequest<Empty<Bytes>>, Error> {
+    let stream = tokio::net::TcpStream::connect(address).await.context(ConnectSnafu { address })?;
+    let probing = socket2::TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    // Without probes a silent connection is noticed later, by the call's patience.
+    socket2::SockRef::from(&stream).set_tcp_keepalive(&probing).ok();
+    let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.context(CallSnafu { path })?;
+    task::spawn_local(connection);
+    Ok(sender)
 }
--- a/crates/node/src/lane/ingress.rs
+++ b/crates/node/src/lane/ingress.rs
@@ -1,142 +1,96 @@
-//! The callers' side: HTTP by xitca-web.
-//!
-//! The accept loop is our own. The library's server, when told to stop, leaves new connections in
-//! the listener's backlog, where they are reset when the process ends; a draining node must keep
-//! accepting until the balancer has noticed, then take what is in the backlog, and only then close.
+//! The callers' side: from a request on a connection to its one answer.
 
-use std::{borrow::Cow, cell::RefCell, convert::Infallible, net, pin::pin, rc::Rc, time as std_time};
+use std::{convert::Infallible, net, pin::pin, rc::Rc, time as std_time};
 
 use bytes::{Bytes, BytesMut};
-use compact_str::{CompactString, format_compact};
-use serde::Serialize;
+use compact_str::format_compact;
 use shallothub_core::{clock, id, traffic::event};
-use shallothub_wire::caller;
-use tokio::{task, time::timeout};
-use xitca_http::HttpServiceBuilder;
-use xitca_service::{Service, ServiceExt, fn_service};
+use shallothub_wire::seam;
+use tokio::time::timeout;
+use xitca_http::http::RequestExt;
 use xitca_web::{
-    App, WebContext,
     body::{BodyExt, RequestBody, ResponseBody},
-    http::{HeaderMap, HeaderValue, StatusCode, WebResponse, header},
-    route::{get, post},
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
 };
 
-use super::{Answer, Shell};
+use super::{Shell, link};
 use crate::{shared, time};
 
-/// How often the accept loop looks whether the node closes.
-const LOOK: std_time::Duration = std_time::Duration::from_millis(20);
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: std_time::Duration = std_time::Duration::from_millis(50);
-/// Longest word for `/explain`.
-const EXPLAIN_WAIT: std_time::Duration = std_time::Duration::from_secs(1);
-
-type Lane = Rc<Shell>;
-type Context<'r> = WebContext<'r, Lane>;
-
-thread_local! {
-    /// The thread's lane. The library wants its builders to be `Send`, which a lane is not, so the
-    /// builder of the handlers' state finds it here.
-    static LANE: RefCell<Option<Lane>> = const { RefCell::new(None) };
+/// Bytes of a head besides its headers' names and values, for each header: colon, space, line end.
+const HEADER_FRAME: usize = 4;
+
+/// Serves a request on a connection where every path is a caller's request.
+pub(super) async fn handle(
+    shell: &Rc<Shell>,
+    request: Request<RequestExt<RequestBody>>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    let (head, ext) = request.into_parts();
+    let (ext, body) = ext.replace_body(());
+    let link = shell.link(*ext.socket_addr());
+    let incoming = Incoming { method: head.method, target: head.uri, headers: head.headers, body };
+    let response = serve(shell, incoming, link.as_ref(), Some(*ext.socket_addr())).await;
+    if let Some(link) = link {
+        link.end();
+    }
+    Ok(response)
 }
 
-/// Accepts and serves connections until the node closes.
-pub(super) async fn accept(shell: Lane, listener: net::TcpListener) {
-    LANE.set(Some(Rc::clone(&shell)));
-    let app = App::new()
-        .at("/query/{class}", post(fn_service(query)))
-        .at("/healthz", get(fn_service(health)))
-        .at("/readyz", get(fn_service(readiness)))
-        .at("/metrics", get(fn_service(metrics)))
-        .at("/status", get(fn_service(status)))
-        .at("/explain/selector/{name}", get(fn_service(explain_selector)))
-        .at("/explain/query/{*name}", get(fn_service(explain_query)))
-        .with_async_state(async || LANE.with_borrow(Clone::clone).ok_or("no lane on this thread"))
-        .finish()
-        .enclosed(HttpServiceBuilder::h1());
-    let service = match app.call(()).await {
-        Ok(service) => Rc::new(service),
-        Err(error) => {
-            tracing::error!(detail = ?error, "the callers' side did not start");
-            return;
-        }
-    };
-    let listener = match tokio::net::TcpListener::from_std(listener) {
-        Ok(listener) => listener,
-        Err(error) => {
-            tracing::error!(detail = %error, "the callers' side has no listener");
-            return;
-        }
-    };
-    loop {
-        let is_closing = shell.shared.phase() >= shared::Phase::Closing;
-        // While closing, only what waits in the backlog is taken; then the listener is dropped.
-        let accepted = match timeout(LOOK, listener.accept()).await {
-            Ok(accepted) => accepted,
-            Err(_) if is_closing => return,
-            Err(_) => continue,
-        };
-        let Ok((stream, address)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let service = Rc::clone(&service);
-        task::spawn_local(async move {
-            stream.set_nodelay(true).ok();
-            // An error ends the connection; a caller that went away is no news.
-            service.call((xitca_io::net::TcpStream::from(stream), address)).await.ok();
-        });
-    }
+/// A request as it comes in.
+pub(super) struct Incoming {
+    pub(super) method: Method,
+    pub(super) target: http::Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: RequestBody,
 }
 
-async fn query(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    let shell = Rc::clone(ctx.state());
+/// Serves a request. Where there is a `link`, a caller that hangs up is noticed.
+pub(super) async fn serve(
+    shell: &Rc<Shell>,
+    incoming: Incoming,
+    link: Option<&link::Link>,
+    from: Option<net::SocketAddr>,
+) -> Response<ResponseBody> {
     let _guard = shell.shared.enter_request();
     let started = std_time::Instant::now();
-    let path = ctx.req().uri().path();
-    let class = CompactString::from(path.rsplit('/').next().unwrap_or_default());
-    let headers = match Headers::read(ctx.req().headers()) {
-        Ok(headers) => headers,
-        Err(message) => return Ok(refusal(&shell, StatusCode::BAD_REQUEST, "bad_header", &message)),
-    };
-    let body = std::mem::take(&mut *ctx.body_borrow_mut());
-    let settings = &shell.shared.settings;
-    let body = match timeout(time::duration(settings.body_wait_ms), read(body, settings.request_bytes_max)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => {
-            let message = format!("the body is over {} bytes; send a smaller one", settings.request_bytes_max);
-            return Ok(refusal(&shell, StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", &message));
-        }
-        Ok(Err(BodyError::Broken)) => {
-            return Ok(refusal(&shell, StatusCode::BAD_REQUEST, "body_broken", "the body ended before its length"));
-        }
-        Err(_) => {
-            let message = format!("the body did not come within {}", settings.body_wait_ms);
-            return Ok(refusal(&shell, StatusCode::REQUEST_TIMEOUT, "body_late", &message));
+    let (request, patience) = match receive(shell, incoming).await {
+        Ok(request) => request,
+        Err(refusal) => {
+            tracing::info!(code = refusal.code, detail = %refusal.message, from = ?from, "turned a request away");
+            shell.shared.metrics.refused(refusal.code);
+            return close(respond(shell, shell.shared.interface.callers.refuse(&refusal)));
         }
     };
-    let patience = headers.patience.map(|patience| {
-        let spent = started.elapsed().as_millis() as u64;
-        patience - clock::Millis(spent)
-    });
-    let (caller, receiver) = shell.request(class, patience, headers.key, body);
-    let mut hang_up = HangUp { shell: Rc::clone(&shell), caller: Some(caller) };
-    let answer = receiver.await;
-    hang_up.caller = None;
-    let Ok(answer) = answer else {
-        return Ok(refusal(
-            &shell,
-            StatusCode::INTERNAL_SERVER_ERROR,
-            "no_answer",
-            "the node has no answer; ask again",
-        ));
+    let spent = started.elapsed().as_millis() as u64;
+    let patience = patience.map(|patience| patience - clock::Millis(spent));
+    let name = request.ask.name.clone();
+    let (caller, receiver) = shell.request(request, patience);
+    let mut hang_up = HangUp { shell: Rc::clone(shell), caller: Some(caller) };
+    let answer = tokio::select! {
+        biased;
+        answer = receiver => answer.ok(),
+        () = gone(link) => None,
+    };
+    let Some(answer) = answer else {
+        // The core hears of it when `hang_up` is dropped, and nobody reads this.
+        tracing::info!(request = %name, took_ms = started.elapsed().as_millis() as u64, "the caller hung up");
+        drop(hang_up);
+        return close(respond(shell, Response::new(Bytes::new())));
     };
-    Ok(respond(&shell, &answer, started))
+    hang_up.caller = None;
+    report(shell, &name, &answer, started);
+    respond(shell, shell.shared.interface.callers.answer(answer))
+}
+
+async fn gone(link: Option<&link::Link>) {
+    match link {
+        Some(link) => link.gone().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Tells the core that the caller is gone if the handler is dropped before its answer.
 struct HangUp {
-    shell: Lane,
+    shell: Rc<Shell>,
     caller: Option<id::Caller>,
 }
 
@@ -148,32 +102,94 @@
     }
 }
 
-struct Headers {
-    patience: Option<clock::Millis>,
-    key: Option<CompactString>,
+/// Reads a request within bounds.
+async fn receive(shell: &Shell, incoming: Incoming) -> Result<(seam::Request, Option<clock::Millis>), seam::Refusal> {
+    let Incoming { method, target, mut headers, body } = incoming;
+    check_framing(&headers)?;
+    check_head(shell, &target, &headers)?;
+    let ask = shell.shared.interface.callers.read(&target, &headers)?;
+    let body = if body_is_empty(&headers) { Bytes::new() } else { read_within(shell, body).await? };
+    seam::strip(&mut headers);
+    let patience = ask.patience;
+    Ok((seam::Request { ask, method, target: origin_form(target), headers, body }, patience))
 }
 
-impl Headers {
-    fn read(headers: &HeaderMap) -> Result<Self, String> {
-        let patience = match text(headers, caller::DEADLINE)? {
-            None => None,
-            Some(value) => match value.parse::<u64>() {
-                Ok(value) => Some(clock::Millis(value)),
-                Err(_) => return Err(format!("`{}` is no number of ms from now: `{value}`", caller::DEADLINE)),
-            },
-        };
-        let key = text(headers, caller::KEY)?.map(CompactString::from);
-        Ok(Self { patience, key })
+fn body_is_empty(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.get(header::CONTENT_LENGTH).is_none_or(|length| length == "0")
+}
+
+/// Path and query, without scheme and host.
+fn origin_form(target: http::Uri) -> http::Uri {
+    match target.path_and_query() {
+        Some(path) if target.authority().is_some() => http::Uri::from(path.clone()),
+        _ => target,
     }
 }
 
-fn text<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h str>, String> {
-    let Some(value) = headers.get(name) else {
-        return Ok(None);
+/// The library passes over transfer codings that it does not know, and reads a length with a sign.
+/// Either could make it take a body for the next request, so both are turned away.
+fn check_framing(headers: &HeaderMap) -> Result<(), seam::Refusal> {
+    let refusal = |message: &str| seam::Refusal {
+        status: StatusCode::BAD_REQUEST,
+        code: "bad_framing",
+        message: message.to_owned(),
     };
-    match value.to_str() {
-        Ok(value) => Ok(Some(value)),
-        Err(_) => Err(format!("`{name}` has characters that are not ASCII")),
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(coding) = codings.next() {
+        let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        if !is_chunked || codings.next().is_some() || headers.contains_key(header::CONTENT_LENGTH) {
+            return Err(refusal("send the body with a length, or in chunks and no other coding"));
+        }
+    }
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    if let Some(length) = lengths.next() {
+        let is_number = !length.is_empty() && length.as_bytes().iter().all(u8::is_ascii_digit);
+        if !is_number || lengths.next().is_some() {
+            return Err(refusal("`Content-Length` must be one number"));
+        }
+    }
+    Ok(())
+}
+
+fn check_head(shell: &Shell, target: &http::Uri, headers: &HeaderMap) -> Result<(), seam::Refusal> {
+    let Some(limits) = shell.limits() else {
+        return Ok(());
+    };
+    let mut bytes = target.path_and_query().map_or(0, |path| path.as_str().len());
+    for (name, value) in headers {
+        bytes += name.as_str().len() + value.len() + HEADER_FRAME;
+    }
+    if bytes <= limits.header_bytes {
+        return Ok(());
+    }
+    Err(seam::Refusal {
+        status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        code: "head_too_large",
+        message: format!("the head is over {} bytes; send a smaller one", limits.header_bytes),
+    })
+}
+
+async fn read_within(shell: &Shell, body: RequestBody) -> Result<Bytes, seam::Refusal> {
+    let settings = &shell.shared.settings;
+    let most = shell.limits().map_or(settings.request_bytes_max, |limits| limits.body_bytes);
+    match timeout(time::duration(settings.body_wait_ms), read(body, most)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(seam::Refusal {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            code: "body_too_large",
+            message: format!("the body is over {most} bytes; send a smaller one"),
+        }),
+        Ok(Err(BodyError::Broken)) => Err(seam::Refusal {
+            status: StatusCode::BAD_REQUEST,
+            code: "body_broken",
+            message: "the body ended before its length".to_owned(),
+        }),
+        Err(_) => Err(seam::Refusal {
+            status: StatusCode::REQUEST_TIMEOUT,
+            code: "body_late",
+            message: format!("the body did not come within {}", settings.body_wait_ms),
+        }),
     }
 }
 
@@ -197,125 +213,41 @@
     Ok(bytes.freeze())
 }
 
-fn respond(shell: &Shell, answer: &Answer, started: std_time::Instant) -> WebResponse {
-    let core = &answer.answer;
-    let shards = core.contributed.len() + core.missing.len();
-    let parts =
-        answer.parts.iter().map(|(shard, hits)| caller::Part { shard: shard.clone(), hits: Cow::Borrowed(hits) });
-    let body = caller::Answer {
-        query: answer.name.clone(),
-        outcome: core.outcome,
-        code: core.code,
-        message: CompactString::const_new(core.code.sentence()),
-        snapshot: core.snapshot,
-        shards: shards as u32,
-        missing: core.missing.clone(),
-        retry_after_ms: core.retry_after,
-        cost: core.cost,
-        parts: parts.collect(),
-    };
-    count(shell, core, shards, started);
-    let query = answer.name.as_deref().unwrap_or_default();
-    let took_ms = started.elapsed().as_millis() as u64;
-    tracing::debug!(class = %core.class, query, outcome = %core.outcome, code = %core.code, took_ms, "answered");
-    let status = StatusCode::from_u16(caller::status(core.outcome, core.code));
-    let mut response = json(shell, status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &body);
-    let headers = response.headers_mut();
-    if let Ok(outcome) = HeaderValue::from_str(&format_compact!("{}", core.outcome)) {
-        headers.insert(caller::OUTCOME, outcome);
-    }
-    if let Some(retry_after) = core.retry_after {
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after.0.div_ceil(1000)));
-        headers.insert(caller::RETRY_AFTER, HeaderValue::from(retry_after.0));
-    }
-    response
+/// The library's response of `response`. A draining node ends its connections with their answers.
+pub(super) fn respond(shell: &Shell, response: http::Response<Bytes>) -> Response<ResponseBody> {
+    let response = response.map(ResponseBody::from);
+    if shell.shared.phase() >= shared::Phase::Draining { close(response) } else { response }
 }
 
-fn count(shell: &Shell, answer: &event::Answer, shards: usize, started: std_time::Instant) {
-    // The name of an unknown class comes from the caller; as a label it would grow without bound.
-    let class = if answer.code == event::Code::UnknownClass { "unknown" } else { answer.class.as_str() };
-    let outcome = format_compact!("{}", answer.outcome);
-    let metrics = &shell.shared.metrics;
-    let took = started.elapsed().as_secs_f64() * 1000.0;
-    metrics.query_ms.with_label_values(&[class, &outcome]).observe(took);
-    metrics.answers.with_label_values(&[class, &outcome, answer.code.as_str()]).inc();
-    if answer.outcome == event::Outcome::Answered && shards > 0 {
-        let share = answer.contributed.len() as f64 / shards as f64;
-        metrics.coverage.with_label_values(&[class]).observe(share);
-    }
-}
-
-fn refusal(shell: &Shell, status: StatusCode, code: &str, message: &str) -> WebResponse {
-    let refusal = caller::Refusal {
-        outcome: event::Outcome::NotRun,
-        code: CompactString::from(code),
-        message: CompactString::from(message),
-    };
-    let mut response = json(shell, status, &refusal);
-    // What is left of the request's body is not read, so the connection cannot be used again.
+/// Ends the connection with this answer; of a request that was turned away, the rest is not read.
+fn close(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn json<T: Serialize>(shell: &Shell, status: StatusCode, value: &T) -> WebResponse {
-    let bytes = serde_json::to_vec(value).unwrap_or_default();
-    plain(shell, status, "application/json", bytes)
-}
-
-fn plain(shell: &Shell, status: StatusCode, kind: &'static str, bytes: impl Into<Bytes>) -> WebResponse {
-    let mut response = WebResponse::new(ResponseBody::from(bytes.into()));
-    *response.status_mut() = status;
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
-    if shell.shared.phase() >= shared::Phase::Draining {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
-}
-
-async fn health(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    Ok(plain(ctx.state(), StatusCode::OK, "text/plain", "alive\n"))
-}
-
-async fn readiness(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    let phase = ctx.state().shared.phase();
-    if phase == shared::Phase::Ready {
-        return Ok(plain(ctx.state(), StatusCode::OK, "text/plain", "ready\n"));
-    }
-    Ok(plain(ctx.state(), StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{phase:?}\n")))
-}
-
-async fn metrics(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    let text = ctx.state().shared.metrics.text();
-    Ok(plain(ctx.state(), StatusCode::OK, "text/plain; version=0.0.4", text))
-}
-
-async fn status(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    let shell = ctx.state();
-    Ok(json(shell, StatusCode::OK, &**shell.shared.status.load()))
-}
-
-async fn explain_selector(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    let shell = Rc::clone(ctx.state());
-    let name = CompactString::from(ctx.req().uri().path().trim_start_matches("/explain/selector/"));
-    let (reply, receiver) = tokio::sync::oneshot::channel();
-    shell.shared.control.send(shared::ToControl::Explain(name, reply)).ok();
-    match timeout(EXPLAIN_WAIT, receiver).await {
-        Ok(Ok(Some(reasons))) => Ok(json(&shell, StatusCode::OK, &reasons)),
-        _ => Ok(refusal(&shell, StatusCode::NOT_FOUND, "unknown_class", event::Code::UnknownClass.sentence())),
-    }
-}
-
-async fn explain_query(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
-    let shell = Rc::clone(ctx.state());
-    let name = CompactString::from(ctx.req().uri().path().trim_start_matches("/explain/query/"));
-    let lane = name.rsplit('/').nth(1).and_then(|lane| lane.parse::<usize>().ok());
-    if let Some(lane) = lane.and_then(|lane| shell.shared.lanes.get(lane)) {
-        let (reply, receiver) = tokio::sync::oneshot::channel();
-        lane.send(shared::ToLane::Explain(name, reply)).ok();
-        if let Ok(Ok(Some(text))) = timeout(EXPLAIN_WAIT, receiver).await {
-            return Ok(plain(&shell, StatusCode::OK, "text/plain", text));
-        }
-    }
-    let message = "this host remembers no such query; ask the host that the name begins with, soon after the answer";
-    Ok(refusal(&shell, StatusCode::NOT_FOUND, "unknown_query", message))
+/// One line and the counters for an answer.
+fn report(shell: &Shell, request: &str, answer: &seam::Answer, started: std_time::Instant) {
+    let core = &answer.core;
+    let shards = core.contributed.len() + core.missing.len();
+    // The name of an unknown class comes from the caller; as a label it would grow without bound.
+    let class = if core.code == event::Code::UnknownClass { "unknown" } else { core.class.as_str() };
+    let took = started.elapsed().as_secs_f64() * 1000.0;
+    shell.shared.metrics.answered(class, core, shards, took);
+    let name = answer.name.as_deref().unwrap_or_default();
+    let missing = format_compact!("{}", core.missing.join(","));
+    tracing::info!(
+        request,
+        query = name,
+        class,
+        outcome = %core.outcome,
+        code = %core.code,
+        took_ms = took as u64,
+        shards,
+        missing = %missing,
+        first = core.cost.first,
+        hedges = core.cost.hedges,
+        retries = core.cost.retries,
+        retry_after_ms = core.retry_after.map(|span| span.0),
+        "answered"
+    );
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -4,24 +4,29 @@
 //! task of an attempt, from the timer task or from control, and the outputs are carried out before
 //! anything else runs on the thread.
 
+mod accept;
 mod attempt;
 mod ingress;
+mod link;
+mod note;
+mod pages;
 mod pool;
 
-use std::{cell::RefCell, net, rc::Rc, sync::Arc, thread};
+use std::{cell::RefCell, rc::Rc, sync::Arc, thread};
 
-use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
-use serde_json::value::RawValue;
-use shallothub_core::{catalog, clock, id, table, traffic};
+use shallothub_core::{catalog, clock, id, route, table, traffic};
+use shallothub_wire::seam;
 use snafu::ResultExt;
 use tokio::{runtime, sync::mpsc, sync::oneshot, task, time::sleep};
 
 use crate::{error, shared, time};
 
+pub use accept::Listeners;
+
 /// Longest time between two steps; a longer gap than the policy's means that the process stopped.
-const TICK: clock::Millis = clock::Millis(50);
+const TICK: clock::Millis = clock::Millis(300);
 /// Time between two publications of a lane's counters.
 const PUBLISH: clock::Millis = clock::Millis(200);
 
@@ -29,7 +34,7 @@
 pub fn start(
     shared: Arc<shared::Shared>,
     index: usize,
-    listener: net::TcpListener,
+    listeners: accept::Listeners,
     words: mpsc::UnboundedReceiver<shared::ToLane>,
 ) -> Result<thread::JoinHandle<()>, error::Error> {
     let builder = thread::Builder::new().name(format!("lane-{index}"));
@@ -40,7 +45,7 @@
             return;
         };
         let local = task::LocalSet::new();
-        local.block_on(&runtime, run(shared, index, listener, words));
+        local.block_on(&runtime, run(shared, index, listeners, words));
     });
     thread.context(error::ThreadSnafu)
 }
@@ -48,11 +53,11 @@
 async fn run(
     shared: Arc<shared::Shared>,
     index: usize,
-    listener: net::TcpListener,
+    listeners: accept::Listeners,
     mut words: mpsc::UnboundedReceiver<shared::ToLane>,
 ) {
     let shell = Shell::new(shared, index);
-    task::spawn_local(ingress::accept(Rc::clone(&shell), listener));
+    task::spawn_local(accept::run(Rc::clone(&shell), listeners));
     task::spawn_local(tick(Rc::clone(&shell)));
     while let Some(word) = words.recv().await {
         match word {
@@ -86,18 +91,12 @@
     }
 }
 
-/// A finished answer with the bodies that belong to it.
-pub(crate) struct Answer {
-    pub(crate) answer: traffic::event::Answer,
-    pub(crate) parts: Vec<(CompactString, Box<RawValue>)>,
-    pub(crate) name: Option<CompactString>,
-}
-
 /// A lane, shared by the tasks of its thread.
 pub(crate) struct Shell {
     pub(crate) shared: Arc<shared::Shared>,
     index: usize,
     state: RefCell<State>,
+    links: link::Links,
     rearm: tokio::sync::Notify,
     armed_for: std::cell::Cell<clock::Millis>,
 }
@@ -106,15 +105,15 @@
     core: traffic::Core,
     next_caller: u64,
     callers: IndexMap<id::Caller, Caller>,
-    /// Bodies of replies that may still contribute, by query.
-    replies: IndexMap<id::Query, Vec<(id::Attempt, Box<RawValue>)>>,
+    /// What came back and may still contribute, by query.
+    replies: IndexMap<id::Query, Vec<(id::Attempt, seam::Payload)>>,
     running: IndexMap<id::Attempt, task::AbortHandle>,
     pools: pool::Pools,
 }
 
 struct Caller {
-    body: Bytes,
-    reply: oneshot::Sender<Answer>,
+    request: Rc<seam::Request>,
+    reply: oneshot::Sender<seam::Answer>,
 }
 
 impl Shell {
@@ -133,6 +132,7 @@
                 running: IndexMap::new(),
                 pools: pool::Pools::default(),
             }),
+            links: RefCell::default(),
             rearm: tokio::sync::Notify::new(),
             armed_for: std::cell::Cell::new(clock::Millis::MAX),
         })
@@ -142,20 +142,36 @@
         self.shared.origin.now()
     }
 
+    /// The bounds on callers in force.
+    pub(crate) fn limits(&self) -> Option<route::Limits> {
+        self.state.borrow().core.view().limits
+    }
+
+    /// The class to which a request goes; its destination's own words if there is none.
+    fn class(&self, to: &seam::Destination) -> CompactString {
+        match to {
+            seam::Destination::Class(class) => class.clone(),
+            seam::Destination::Route { host, path } => {
+                let state = self.state.borrow();
+                state.core.view().routes.find(host, path).cloned().unwrap_or_default()
+            }
+        }
+    }
+
     /// Hands a caller's request to the core; the answer comes through the receiver.
     pub(crate) fn request(
         self: &Rc<Self>,
-        class: CompactString,
+        request: seam::Request,
         patience: Option<clock::Millis>,
-        key: Option<CompactString>,
-        body: Bytes,
-    ) -> (id::Caller, oneshot::Receiver<Answer>) {
+    ) -> (id::Caller, oneshot::Receiver<seam::Answer>) {
         let (reply, receiver) = oneshot::channel();
+        let class = self.class(&request.ask.to);
+        let key = request.ask.key.clone();
         let caller = {
             let mut state = self.state.borrow_mut();
             state.next_caller += 1;
             let caller = id::Caller(state.next_caller);
-            state.callers.insert(caller, Caller { body, reply });
+            state.callers.insert(caller, Caller { request: Rc::new(request), reply });
             caller
         };
         let request = traffic::event::Request { caller, class, patience, key };
@@ -191,15 +207,18 @@
                 self.shared.control.send(shared::ToControl::Revalidate).ok();
             }
             traffic::event::Output::Breach(breach) => self.shared.metrics.breach(&breach),
+            traffic::event::Output::Note(note) => self.log(&note),
         }
     }
 
     fn dispatch(self: &Rc<Self>, dispatch: traffic::event::Dispatch) {
         let mut state = self.state.borrow_mut();
         // The core never dispatches for a caller that it has answered.
-        let body = state.callers.get(&dispatch.caller).map(|caller| caller.body.clone()).unwrap_or_default();
+        let Some(request) = state.callers.get(&dispatch.caller).map(|caller| Rc::clone(&caller.request)) else {
+            return;
+        };
         let attempt = dispatch.attempt;
-        let running = task::spawn_local(attempt::run(Rc::clone(self), dispatch, body));
+        let running = task::spawn_local(attempt::run(Rc::clone(self), dispatch, request));
         state.running.insert(attempt, running.abort_handle());
     }
 
@@ -210,21 +229,24 @@
         }
     }
 
-    /// An attempt ended. Its body is kept only if the core may still want it.
+    /// An attempt ended. What came back is kept only if the core may still want it.
     fn attempt_ended(
         self: &Rc<Self>,
         attempt: id::Attempt,
         query: id::Query,
         reply: traffic::event::Reply,
-        body: Option<Box<RawValue>>,
+        payload: Option<seam::Payload>,
     ) {
         {
             let mut state = self.state.borrow_mut();
             if state.running.swap_remove(&attempt).is_none() {
                 return;
             }
-            if let Some(body) = body {
-                state.replies.entry(query).or_default().push((attempt, body));
+            // An attempt may run on after its query has its answer.
+            if let Some(payload) = payload
+                && state.core.is_live(query)
+            {
+                state.replies.entry(query).or_default().push((attempt, payload));
             }
         }
         self.step([traffic::event::Input::Reply { attempt, reply }]);
@@ -232,20 +254,27 @@
 
     fn answer(&self, answer: traffic::event::Answer) {
         let mut state = self.state.borrow_mut();
-        let bodies = answer.query.and_then(|query| state.replies.swap_remove(&query)).unwrap_or_default();
+        let payloads = answer.query.and_then(|query| state.replies.swap_remove(&query)).unwrap_or_default();
         let Some(caller) = state.callers.swap_remove(&answer.caller) else {
             return;
         };
-        let mut bodies: IndexMap<id::Attempt, Box<RawValue>> = bodies.into_iter().collect();
+        let mut payloads: IndexMap<id::Attempt, seam::Payload> = payloads.into_iter().collect();
         let mut parts = Vec::with_capacity(answer.contributed.len());
         for (shard, attempt) in &answer.contributed {
-            if let Some(body) = bodies.swap_remove(attempt) {
-                parts.push((shard.clone(), body));
+            if let Some(payload) = payloads.swap_remove(attempt) {
+                parts.push(seam::Part { shard: shard.clone(), payload });
             }
         }
+        let failure = answer.failure.and_then(|attempt| payloads.swap_remove(&attempt));
         let name = answer.query.map(|query| self.query_name(query));
         // A caller that hung up does not read its answer; the core was told, or will be.
-        caller.reply.send(Answer { answer, parts, name }).ok();
+        caller.reply.send(seam::Answer { core: answer, parts, failure, name }).ok();
+    }
+
+    /// The caller's own name of a request, for the log.
+    fn request_name(&self, caller: id::Caller) -> CompactString {
+        let state = self.state.borrow();
+        state.callers.get(&caller).map(|caller| caller.request.ask.name.clone()).unwrap_or_default()
     }
 
     fn query_name(&self, query: id::Query) -> CompactString {
--- /dev/null
+++ b/crates/node/src/lane/note.rs
@@ -0,0 +1,41 @@
+//! The core's decisions as lines of the log.
+
+use shallothub_core::traffic::note;
+
+use super::Shell;
+
+impl Shell {
+    /// Writes a decision to the log, with the caller's own name for the request.
+    pub(super) fn log(&self, note: &note::Note) {
+        match note {
+            note::Note::Extra { caller, shard, server, cause, after } => {
+                let request = self.request_name(*caller);
+                let cause = cause.as_str();
+                tracing::info!(%request, %shard, %server, cause, after_ms = after.0, "another attempt");
+            }
+            note::Note::Denied { caller, shard, cause } => {
+                let request = self.request_name(*caller);
+                let cause = cause.as_str();
+                tracing::info!(%request, %shard, cause, "no budget for another attempt");
+            }
+            note::Note::Failed { caller, server, end, took } => {
+                let request = caller.map(|caller| self.request_name(caller)).unwrap_or_default();
+                tracing::info!(%request, %server, end = ?end, took_ms = took.0, "an attempt failed");
+            }
+            note::Note::Silent { server, silent_for, pause } => {
+                let (silent_ms, pause_ms) = (silent_for.0, pause.0);
+                tracing::info!(%server, silent_ms, pause_ms, "a silent server is passed over");
+            }
+            note::Note::Ejected { server, pause } => {
+                tracing::info!(%server, pause_ms = pause.0, "a failing server is left out");
+            }
+            note::Note::Paused { gap, expired } => {
+                tracing::warn!(gap_ms = gap.0, expired, "the process was stopped for a while");
+            }
+            note::Note::View { servers, leaving } => {
+                let view = self.state.borrow().core.view().stamp;
+                tracing::info!(stamp = %view, servers, leaving, "a lane took the view");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lane/pages.rs
@@ -0,0 +1,136 @@
+//! The node's own pages (health, readiness, metrics, status, explanations), and the product's own
+//! interface for callers, built on xitca-web.
+
+use std::{cell::RefCell, convert::Infallible, net, rc::Rc, time as std_time};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::Serialize;
+use shallothub_core::traffic::event;
+use shallothub_wire::{own, seam};
+use tokio::time::timeout;
+use xitca_http::HttpServiceBuilder;
+use xitca_service::{Service, ServiceExt, fn_service};
+use xitca_web::{
+    App, WebContext,
+    http::{HeaderValue, StatusCode, WebResponse, header},
+    route::{get, post},
+};
+
+use super::{Shell, ingress};
+use crate::shared;
+
+/// Longest wait for the thread that knows the answer to `/explain`.
+const EXPLAIN_WAIT: std_time::Duration = std_time::Duration::from_secs(1);
+
+type Lane = Rc<Shell>;
+type Context<'r> = WebContext<'r, Lane>;
+
+thread_local! {
+    /// The thread's lane. The library wants its builders to be `Send`, which a lane is not, so the
+    /// builder of the handlers' state finds it here.
+    static LANE: RefCell<Option<Lane>> = const { RefCell::new(None) };
+}
+
+/// Makes `shell` the lane of this thread, for [`service`].
+pub(super) fn enter(shell: &Lane) {
+    LANE.set(Some(Rc::clone(shell)));
+}
+
+/// The pages as a service for connections.
+pub(super) async fn service() -> Result<impl Service<(xitca_io::net::TcpStream, net::SocketAddr)>, &'static str> {
+    let app = App::new()
+        .at("/query/{class}", post(fn_service(query)))
+        .at("/healthz", get(fn_service(health)))
+        .at("/readyz", get(fn_service(readiness)))
+        .at("/metrics", get(fn_service(metrics)))
+        .at("/status", get(fn_service(status)))
+        .at("/explain/selector/{name}", get(fn_service(explain_selector)))
+        .at("/explain/query/{*name}", get(fn_service(explain_query)))
+        .with_async_state(async || LANE.with_borrow(Clone::clone).ok_or("no lane on this thread"))
+        .finish()
+        .enclosed(HttpServiceBuilder::h1());
+    app.call(()).await.map_err(|_| "no lane on this thread")
+}
+
+async fn query(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    let shell = Rc::clone(ctx.state());
+    if shell.shared.interface.callers.is_exclusive() {
+        return Ok(refusal(&shell, StatusCode::NOT_FOUND, "wrong_address", "callers have an address of their own"));
+    }
+    let request = ctx.req();
+    let incoming = ingress::Incoming {
+        method: request.method().clone(),
+        target: request.uri().clone(),
+        headers: request.headers().clone(),
+        body: std::mem::take(&mut *ctx.body_borrow_mut()),
+    };
+    Ok(ingress::serve(&shell, incoming, None, None).await)
+}
+
+fn refusal(shell: &Shell, status: StatusCode, code: &'static str, message: &str) -> WebResponse {
+    let refusal = seam::Refusal { status, code, message: message.to_owned() };
+    let mut response = ingress::respond(shell, seam::Callers::refuse(&own::Own, &refusal));
+    // What is left of the request's body is not read, so the connection cannot be used again.
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn json<T: Serialize>(shell: &Shell, value: &T) -> WebResponse {
+    ingress::respond(shell, own::json(StatusCode::OK, value))
+}
+
+fn plain(shell: &Shell, status: StatusCode, kind: &'static str, bytes: impl Into<Bytes>) -> WebResponse {
+    let mut response = http::Response::new(bytes.into());
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    ingress::respond(shell, response)
+}
+
+async fn health(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    Ok(plain(ctx.state(), StatusCode::OK, "text/plain", "alive\n"))
+}
+
+async fn readiness(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    let phase = ctx.state().shared.phase();
+    if phase == shared::Phase::Ready {
+        return Ok(plain(ctx.state(), StatusCode::OK, "text/plain", "ready\n"));
+    }
+    Ok(plain(ctx.state(), StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{phase:?}\n")))
+}
+
+async fn metrics(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    let text = ctx.state().shared.metrics.text();
+    Ok(plain(ctx.state(), StatusCode::OK, "text/plain; version=0.0.4", text))
+}
+
+async fn status(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    let shell = ctx.state();
+    Ok(json(shell, &**shell.shared.status.load()))
+}
+
+async fn explain_selector(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    let shell = Rc::clone(ctx.state());
+    let name = CompactString::from(ctx.req().uri().path().trim_start_matches("/explain/selector/"));
+    let (reply, receiver) = tokio::sync::oneshot::channel();
+    shell.shared.control.send(shared::ToControl::Explain(name, reply)).ok();
+    match timeout(EXPLAIN_WAIT, receiver).await {
+        Ok(Ok(Some(reasons))) => Ok(json(&shell, &reasons)),
+        _ => Ok(refusal(&shell, StatusCode::NOT_FOUND, "unknown_class", event::Code::UnknownClass.sentence())),
+    }
+}
+
+async fn explain_query(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
+    let shell = Rc::clone(ctx.state());
+    let name = CompactString::from(ctx.req().uri().path().trim_start_matches("/explain/query/"));
+    let lane = name.rsplit('/').nth(1).and_then(|lane| lane.parse::<usize>().ok());
+    if let Some(lane) = lane.and_then(|lane| shell.shared.lanes.get(lane)) {
+        let (reply, receiver) = tokio::sync::oneshot::channel();
+        lane.send(shared::ToLane::Explain(name, reply)).ok();
+        if let Ok(Ok(Some(text))) = timeout(EXPLAIN_WAIT, receiver).await {
+            return Ok(plain(&shell, StatusCode::OK, "text/plain", text));
+        }
+    }
+    let message = "this host remembers no such query; ask the host that the name begins with, soon after the answer";
+    Ok(refusal(&shell, StatusCode::NOT_FOUND, "unknown_query", message))
+}
--- a/crates/node/src/lane/pool.rs
+++ b/crates/node/src/lane/pool.rs
@@ -11,15 +11,41 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use indexmap::IndexMap;
-use shallothub_core::id;
+use shallothub_core::{clock, id};
 use tokio::task;
 
+/// Longest time that a connection is kept idle when the server does not say how long it does.
+const IDLE: clock::Millis = clock::Millis(30_000);
+/// Part of the time that the server keeps an idle connection in which it is used: a request that
+/// crosses the server's close comes to an unknown end.
+const IDLE_USED: f64 = 0.7;
+/// Longest idle time of a connection that gets a request which may run once only. Connections are
+/// lost without a word, and more often the longer they are idle; a new one costs little beside an
+/// unknown end.
+const IDLE_ONCE: clock::Millis = clock::Millis(1000);
+
 /// A connection to a backend server. Dropping it closes it at once.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     pub(crate) driver: task::AbortHandle,
     pub(crate) _counted: Counted,
+    /// When it became idle.
+    pub(crate) idle_since: clock::Millis,
+    /// How long the server keeps it idle.
+    pub(crate) idle_most: clock::Millis,
+}
+
+impl Connection {
+    pub(crate) fn new(sender: http1::SendRequest<Full<Bytes>>, driver: task::AbortHandle, counted: Counted) -> Self {
+        Self { sender, driver, _counted: counted, idle_since: clock::Millis::ZERO, idle_most: IDLE }
+    }
+
+    fn is_usable(&self, now: clock::Millis, idempotent: bool) -> bool {
+        let idle = now.since(self.idle_since);
+        let most = self.idle_most.scale(IDLE_USED);
+        self.sender.is_ready() && idle <= if idempotent { most } else { most.min(IDLE_ONCE) }
+    }
 }
 
 /// One in the count of connections to a server, until dropped.
@@ -52,11 +78,12 @@
 }
 
 impl Pools {
-    /// Takes the most recently used idle connection that is still open.
-    pub(crate) fn take(&mut self, server: id::Server) -> Option<Connection> {
+    /// Takes the most recently used idle connection that is still open and young enough for the
+    /// request; older ones are closed on the way.
+    pub(crate) fn take(&mut self, server: id::Server, now: clock::Millis, idempotent: bool) -> Option<Connection> {
         let pool = self.pools.get_mut(&server)?;
         while let Some(connection) = pool.idle.pop() {
-            if connection.sender.is_ready() {
+            if connection.is_usable(now, idempotent) {
                 return Some(connection);
             }
         }
@@ -89,5 +116,8 @@
         let pool = self.pools.entry(server).or_default();
         pool.keep = keep;
         while pool.open.get() > keep && pool.idle.pop().is_some() {}
+        if keep == 0 && pool.open.get() == 0 {
+            self.pools.swap_remove(&server);
+        }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Metrics for Prometheus: histograms for each class and service, counters of outcomes and breaches.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 use snafu::ResultExt;
 
-use shallothub_core::{control, invariant, traffic};
+use shallothub_core::{control, invariant, traffic, traffic::event};
 
 use crate::error;
 
@@ -31,6 +33,10 @@
     pub control: IntGaugeVec,
     /// Bytes of messages between hosts, by direction.
     pub peer_bytes: IntCounterVec,
+    /// Connections opened to backend servers.
+    pub connections: IntCounter,
+    /// Requests turned away before they reached the core, by code.
+    pub refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -66,6 +72,11 @@
                 Opts::new("shallothub_peer_bytes", "Bytes of messages between hosts"),
                 &["direction"],
             )?,
+            connections: IntCounter::new("shallothub_connections", "Connections opened to backend servers")?,
+            refusals: IntCounterVec::new(
+                Opts::new("shallothub_refusals", "Requests turned away before they reached the core"),
+                &["code"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.query_ms.clone()))?;
         metrics.registry.register(Box::new(metrics.coverage.clone()))?;
@@ -74,6 +85,8 @@
         metrics.registry.register(Box::new(metrics.breaches.clone()))?;
         metrics.registry.register(Box::new(metrics.lane.clone()))?;
         metrics.registry.register(Box::new(metrics.control.clone()))?;
+        metrics.registry.register(Box::new(metrics.connections.clone()))?;
+        metrics.registry.register(Box::new(metrics.refusals.clone()))?;
         metrics.registry.register(Box::new(metrics.peer_bytes.clone()))?;
         for name in invariant::Name::ALL {
             metrics.breaches.with_label_values(&[name.as_str()]).inc_by(0);
@@ -87,6 +100,22 @@
         tracing::error!(promise = %breach.name, detail = %breach.detail, "a promise did not hold");
     }
 
+    /// Counts a request that was turned away.
+    pub fn refused(&self, code: &str) {
+        self.refusals.with_label_values(&[code]).inc();
+    }
+
+    /// Counts an answer over `shards` that took `took_ms`.
+    pub fn answered(&self, class: &str, answer: &event::Answer, shards: usize, took_ms: f64) {
+        let outcome = answer.outcome.as_str();
+        self.query_ms.with_label_values(&[class, outcome]).observe(took_ms);
+        self.answers.with_label_values(&[class, outcome, answer.code.as_str()]).inc();
+        if answer.outcome == event::Outcome::Answered && shards > 0 {
+            let share = answer.contributed.len() as f64 / shards as f64;
+            self.coverage.with_label_values(&[class]).observe(share);
+        }
+    }
+
     /// Takes over a lane's counters.
     pub fn set_lane(&self, lane: usize, stats: &traffic::summary::Stats) {
         let lane = lane.to_string();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,7 +2,8 @@
 
 use std::{fs, net, sync::Arc};
 
-use shallothub_settings::node;
+use shallothub_settings::{document, node};
+use shallothub_wire::{own, seam};
 use snafu::ResultExt;
 use tokio::{runtime, signal::unix, sync::mpsc};
 
@@ -17,20 +18,39 @@
     }
 }
 
-/// Runs a node until SIGTERM or SIGINT and its drain. SIGHUP reads the log filter again.
-pub fn run(path: &str) -> Result<(), error::Error> {
+/// The product's own interface.
+pub fn own_interface() -> seam::Interface {
+    seam::Interface { callers: &own::Own, leafs: &own::Own, reader: document::READER, registry: None }
+}
+
+/// Runs a node until SIGTERM or SIGINT and its drain. SIGHUP reads the log filter again. `platform`
+/// is the interface of the users' platform.
+pub fn run(path: &str, platform: seam::Interface) -> Result<(), error::Error> {
     let settings = settings(path)?;
     let log = log::start(&settings.log)?;
-    let shared = start(settings)?;
+    let interface = match settings.interface {
+        node::Interface::Own => own_interface(),
+        node::Interface::Platform => platform,
+    };
+    let shared = start(settings, interface)?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build().context(error::ThreadSnafu)?;
-    runtime.block_on(live(shared, &log, path))
+    let result = runtime.block_on(live(shared, &log, path));
+    log.flush();
+    result
 }
 
-/// Starts the threads of a node.
-pub fn start(settings: node::Settings) -> Result<Arc<shared::Shared>, error::Error> {
-    let address = settings.listen;
+fn bind(address: net::SocketAddr) -> Result<net::TcpListener, error::Error> {
     let listener = net::TcpListener::bind(address).context(error::ListenSnafu { address })?;
     listener.set_nonblocking(true).context(error::ListenSnafu { address })?;
+    Ok(listener)
+}
+
+/// Starts the threads of a node.
+pub fn start(settings: node::Settings, interface: seam::Interface) -> Result<Arc<shared::Shared>, error::Error> {
+    let address = settings.listen;
+    let listener = bind(address)?;
+    let ready = settings.ready.map(bind).transpose()?;
+    let admin = settings.admin.map(bind).transpose()?;
     let (control, control_words) = mpsc::unbounded_channel();
     let mut lanes = Vec::new();
     let mut lane_words = Vec::new();
@@ -41,16 +61,35 @@
     }
     let peers = control::peer::Listener::new(settings.peer, control.clone())?;
     let addresses = [listener.local_addr().context(error::ListenSnafu { address })?, peers.address()];
-    tracing::info!(host = %settings.name, listen = %addresses[0], peer = %addresses[1], "listening");
-    let shared = Arc::new(shared::Shared::new(settings, addresses, metrics::Metrics::new()?, lanes, control));
+    let shared = shared::Shared::new(settings, interface, addresses, metrics::Metrics::new()?, lanes, control);
+    let shared = Arc::new(shared);
+    report_start(&shared);
     control::start(Arc::clone(&shared), control_words, peers)?;
+    let mut pages = (ready, admin);
     for (index, words) in lane_words.into_iter().enumerate() {
-        let listener = listener.try_clone().context(error::ListenSnafu { address })?;
-        lane::start(Arc::clone(&shared), index, listener, words)?;
+        let callers = listener.try_clone().context(error::ListenSnafu { address })?;
+        // The first lane serves the pages for the whole node.
+        let listeners = lane::Listeners { callers, ready: pages.0.take(), admin: pages.1.take() };
+        lane::start(Arc::clone(&shared), index, listeners, words)?;
     }
     Ok(shared)
 }
 
+fn report_start(shared: &shared::Shared) {
+    let settings = &shared.settings;
+    tracing::info!(
+        host = %settings.name,
+        data_centre = %settings.data_centre,
+        version = env!("CARGO_PKG_VERSION"),
+        interface = ?settings.interface,
+        life = format!("{:016x}", shared.origin.start()),
+        listen = %shared.listen,
+        peer = %shared.peer,
+        platform = %settings.platform,
+        "listening"
+    );
+}
+
 async fn live(shared: Arc<shared::Shared>, log: &log::Handle, path: &str) -> Result<(), error::Error> {
     let mut term = unix::signal(unix::SignalKind::terminate()).context(error::ThreadSnafu)?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt()).context(error::ThreadSnafu)?;
