--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -13,7 +13,8 @@
 use serde::{Deserialize, Serialize};
 use shallothub_core::{clock, control, plan, traffic, view};
 use shallothub_settings::node;
-use tokio::sync::{mpsc, oneshot};
+use shallothub_wire::seam;
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{metrics, time};
 
@@ -92,6 +93,8 @@
     pub refused: Vec<CompactString>,
     /// Counters of the control core.
     pub control: control::Stats,
+    /// Whether a view is in force.
+    pub has_view: bool,
     /// Selectors in force.
     pub classes: Vec<CompactString>,
 }
@@ -101,6 +104,8 @@
 pub struct Shared {
     /// The node's settings.
     pub settings: node::Settings,
+    /// The interface that it speaks.
+    pub interface: seam::Interface,
     /// Where callers are served, with the port that was given out if the settings say 0.
     pub listen: net::SocketAddr,
     /// Where other hosts are heard, likewise.
@@ -117,6 +122,8 @@
     pub lanes: Vec<mpsc::UnboundedSender<ToLane>>,
     /// Words to the control thread.
     pub control: mpsc::UnboundedSender<ToControl>,
+    /// Wakes whoever waits for a caller when the node closes.
+    pub(crate) closing: Notify,
     phase: AtomicU8,
     in_flight: AtomicU32,
 }
@@ -125,6 +132,7 @@
     /// State of a node that starts.
     pub fn new(
         settings: node::Settings,
+        interface: seam::Interface,
         [listen, peer]: [net::SocketAddr; 2],
         metrics: metrics::Metrics,
         lanes: Vec<mpsc::UnboundedSender<ToLane>>,
@@ -134,6 +142,7 @@
         lane_stats.resize_with(lanes.len(), ArcSwap::default);
         Self {
             settings,
+            interface,
             listen,
             peer,
             origin: time::Origin::new(),
@@ -142,6 +151,7 @@
             lane_stats,
             lanes,
             control,
+            closing: Notify::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
             in_flight: AtomicU32::new(0),
         }
@@ -154,11 +164,12 @@
 
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.store(phase as u8, Ordering::SeqCst);
+        self.closing.notify_waiters();
     }
 
     /// Whether a view is in force.
     pub fn has_view(&self) -> bool {
-        !self.status.load().classes.is_empty()
+        self.status.load().has_view
     }
 
     /// Callers' requests that are not answered yet.
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -11,7 +11,7 @@
 use crate::yaml;
 
 /// The functions that the control core reads documents with.
-pub const READER: control::Reader = control::Reader { manifest, part };
+pub const READER: control::Reader = control::Reader { source: control::Source::Documents, manifest, part };
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -8,6 +8,17 @@
 
 use crate::yaml;
 
+/// The interface that a node speaks to callers, backend servers and its source of configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Interface {
+    /// The product's own.
+    #[default]
+    Own,
+    /// That of the users' platform.
+    Platform,
+}
+
 /// Settings of one node. Times are in milliseconds, sizes in bytes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -16,8 +27,17 @@
     pub name: CompactString,
     /// Its data centre.
     pub data_centre: CompactString,
-    /// `IP:PORT` for callers, health and metrics.
+    /// Which interface it speaks. Default `own`.
+    #[serde(default)]
+    pub interface: Interface,
+    /// `IP:PORT` for callers; with the interface `own` also for health and metrics.
     pub listen: net::SocketAddr,
+    /// `IP:PORT` for the balancer's question whether the node is ready, if not at `listen`.
+    #[serde(default)]
+    pub ready: Option<net::SocketAddr>,
+    /// `IP:PORT` for metrics, status and explanations, if not at `listen`.
+    #[serde(default)]
+    pub admin: Option<net::SocketAddr>,
     /// `IP:PORT` for the other hosts.
     pub peer: net::SocketAddr,
     /// `IP:PORT` of the platform's configuration service.
@@ -110,12 +130,28 @@
     if settings.peer.ip().is_unspecified() {
         fault("`peer` names no address that other hosts could reach", "write this host's IP number");
     }
+    if settings.interface == Interface::Platform && settings.ready.is_none() {
+        fault("`ready` is missing", "write the address at which the platform asks whether the node is ready");
+    }
+    let others = [Some(settings.peer), settings.ready, settings.admin];
+    for (place, address) in others.iter().enumerate().filter_map(|(place, address)| Some((place, (*address)?))) {
+        let is_taken = address == settings.listen || others[..place].contains(&Some(address));
+        if is_taken && address.port() != 0 && address != settings.peer {
+            fault("`ready` or `admin` is an address that is taken", "give each a port of its own");
+        }
+    }
     if settings.name.is_empty() || settings.data_centre.is_empty() {
         fault("`name` or `data_centre` is empty", "write them as in the platform's list of hosts");
     }
     if settings.traffic.hedge_fraction < 0.0 || settings.traffic.retry_fraction < 0.0 {
         fault("a budget under `traffic` is negative", "set `hedge_fraction` and `retry_fraction` to 0 or more");
     }
+    if settings.traffic.fleet.is_some_and(|fleet| fleet.ratio < 0.0 || fleet.slack < 0.0) {
+        fault("a bound under `traffic.fleet` is negative", "set `ratio` and `slack` to 0 or more");
+    }
+    if settings.traffic.score_band < 1.0 {
+        fault("`traffic.score_band` is below 1", "set it to 1 or more");
+    }
     if settings.control.watchers == 0 || settings.control.fanout == 0 {
         fault("`control` has no watchers or no fanout", "set both to 1 or more");
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,5 +3,7 @@
 
 pub mod caller;
 pub mod leaf;
+pub mod own;
 pub mod peer;
 pub mod platform;
+pub mod seam;
--- /dev/null
+++ b/crates/wire/src/own.rs
@@ -0,0 +1,168 @@
+//! The product's own interface, as the two sides of [`seam`]: `POST /query/CLASS` from callers,
+//! `POST /search` to backend servers.
+
+use std::borrow::Cow;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http_body_util::Full;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use shallothub_core::{clock, id, traffic::event};
+
+use crate::{caller, leaf, seam};
+
+/// The product's own interface on both sides.
+#[derive(Clone, Copy, Debug)]
+pub struct Own;
+
+impl seam::Callers for Own {
+    fn read(&self, target: &http::Uri, headers: &HeaderMap) -> Result<seam::Ask, seam::Refusal> {
+        let patience = match text(headers, caller::DEADLINE)? {
+            None => None,
+            Some(value) => match value.parse::<u64>() {
+                Ok(value) => Some(clock::Millis(value)),
+                Err(_) => {
+                    return Err(bad_header(format!("`{}` is no number of ms from now: `{value}`", caller::DEADLINE)));
+                }
+            },
+        };
+        let key = text(headers, caller::KEY)?.map(CompactString::from);
+        let class = CompactString::from(target.path().rsplit('/').next().unwrap_or_default());
+        Ok(seam::Ask { name: key.clone().unwrap_or_default(), to: seam::Destination::Class(class), patience, key })
+    }
+
+    fn answer(&self, answer: seam::Answer) -> http::Response<Bytes> {
+        let core = &answer.core;
+        let parts = answer.parts.iter().filter_map(|part| match &part.payload {
+            seam::Payload::Hits(hits) => {
+                Some(caller::Part { shard: part.shard.clone(), hits: Cow::Borrowed(&**hits as &RawValue) })
+            }
+            _ => None,
+        });
+        let body = caller::Answer {
+            query: answer.name.clone(),
+            outcome: core.outcome,
+            code: core.code,
+            message: CompactString::const_new(core.code.sentence()),
+            snapshot: core.snapshot,
+            shards: (core.contributed.len() + core.missing.len()) as u32,
+            missing: core.missing.clone(),
+            retry_after_ms: core.retry_after,
+            cost: core.cost,
+            parts: parts.collect(),
+        };
+        let status = StatusCode::from_u16(caller::status(core.outcome, core.code));
+        let mut response = json(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &body);
+        let headers = response.headers_mut();
+        if let Ok(outcome) = HeaderValue::from_str(&format_compact!("{}", core.outcome)) {
+            headers.insert(caller::OUTCOME, outcome);
+        }
+        if let Some(retry_after) = core.retry_after {
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after.0.div_ceil(1000)));
+            headers.insert(caller::RETRY_AFTER, HeaderValue::from(retry_after.0));
+        }
+        response
+    }
+
+    fn refuse(&self, refusal: &seam::Refusal) -> http::Response<Bytes> {
+        let body = caller::Refusal {
+            outcome: event::Outcome::NotRun,
+            code: CompactString::const_new(refusal.code),
+            message: CompactString::from(refusal.message.as_str()),
+        };
+        json(refusal.status, &body)
+    }
+
+    fn is_exclusive(&self) -> bool {
+        false
+    }
+}
+
+impl seam::Leafs for Own {
+    fn name(&self, origin: seam::Origin<'_>, attempt: id::Attempt) -> CompactString {
+        leaf::attempt_name(origin.host, origin.start, origin.lane, attempt)
+    }
+
+    fn request(
+        &self,
+        dispatch: &event::Dispatch,
+        name: &str,
+        request: &seam::Request,
+        left: clock::Millis,
+    ) -> Option<http::Request<Full<Bytes>>> {
+        let mut builder = http::Request::post(leaf::PATH)
+            .header(header::HOST, dispatch.address.as_str())
+            .header(leaf::ATTEMPT, name)
+            .header(leaf::SHARD, dispatch.shard.as_str())
+            .header(leaf::EPOCH, dispatch.epoch)
+            .header(leaf::DEADLINE, left.0);
+        if let Some(want) = dispatch.want {
+            builder = builder.header(leaf::WANT, want.version);
+        }
+        if let Some(key) = &dispatch.key {
+            builder = builder.header(leaf::KEY, key.as_str());
+        }
+        builder.body(Full::new(request.body.clone())).ok()
+    }
+
+    fn reply(
+        &self,
+        dispatch: &event::Dispatch,
+        name: &str,
+        _request: &seam::Request,
+        head: &http::response::Parts,
+        body: Bytes,
+    ) -> seam::Reply {
+        let end = match head.status {
+            StatusCode::OK => return read(dispatch, name, &body),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                event::Reply::Refused { retry_after: retry_after(&head.headers) }
+            }
+            StatusCode::CONFLICT => event::Reply::Duplicate,
+            _ => event::Reply::Lost,
+        };
+        seam::Reply { end, payload: None, is_own: true, idle: None }
+    }
+}
+
+/// Reads a whole answer. Garbage, and an answer to another attempt, are unknown ends.
+fn read(dispatch: &event::Dispatch, name: &str, bytes: &Bytes) -> seam::Reply {
+    let Ok(reply) = serde_json::from_slice::<leaf::Reply<'_>>(bytes) else {
+        return seam::Reply::lost();
+    };
+    if reply.attempt != name || reply.shard != dispatch.shard {
+        return seam::Reply::lost();
+    }
+    let part = event::Part { snapshot: reply.snapshot, held: reply.held, hits: reply.count, load: reply.load };
+    let payload = Some(seam::Payload::Hits(reply.hits.to_owned()));
+    seam::Reply { end: event::Reply::Answered(part), payload, is_own: true, idle: None }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<clock::Millis> {
+    headers.get(leaf::RETRY_AFTER)?.to_str().ok()?.parse().ok()
+}
+
+fn text<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h str>, seam::Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(value) => Ok(Some(value)),
+        Err(_) => Err(bad_header(format!("`{name}` has characters that are not ASCII"))),
+    }
+}
+
+fn bad_header(message: String) -> seam::Refusal {
+    seam::Refusal { status: StatusCode::BAD_REQUEST, code: "bad_header", message }
+}
+
+/// A response with `value` in JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> http::Response<Bytes> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = http::Response::new(Bytes::from(bytes));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -11,11 +11,13 @@
 fn body() -> impl Strategy<Value = message::Body> {
     let digest =
         (stamp(), stamp(), any::<Option<u64>>(), any::<Option<u64>>()).prop_map(|(config, hosts, sent, echo)| {
+            let member = message::Member { peer: "10.0.0.2:7000".into(), ..message::Member::default() };
             message::Body::Digest(message::Digest {
                 stamps: [config, hosts],
                 ages: [sent.map(clock::Millis), None],
                 sent: sent.map(clock::Millis),
                 echo: echo.map(clock::Millis),
+                members: vec![member],
             })
         });
     let ask = proptest::collection::vec(any::<u64>(), 0..20).prop_map(|have| {
--- a/src/bin/shallothub.rs
+++ b/src/bin/shallothub.rs
@@ -11,7 +11,7 @@
     let result = if matches.get_flag("check") {
         run::settings(path).map(|settings| println!("{path}: no fault; this is host {}", settings.name))
     } else {
-        run::run(path)
+        run::run(path, shallothub_platform::interface())
     };
     match result {
         Ok(()) => process::ExitCode::SUCCESS,
