Prefer replicas in the host's own data centre

Ruled out: near replicas only (a slow or silent one would then hold its shard up). Change: servers have a distance; nearer ones are looked at first, and a far one counts as twice as slow.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -87,6 +87,7 @@
                 connections: size.connections,
                 slots: size.slots as u32,
                 leaving: false,
+                distance: view::Distance::Near,
             }));
         }
         let service = registry.intern_service("service");
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -505,7 +505,7 @@
             Source::Documents => 0,
             Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
         };
-        let fleet = plan::Fleet { members, held: &held };
+        let fleet = plan::Fleet { data_centre: &self.identity.data_centre, members, held: &held };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -10,6 +10,8 @@
 /// What a host knows that no document says.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Fleet<'l> {
+    /// This host's data centre; empty if the documents do not tell servers' either.
+    pub data_centre: &'l str,
     /// Entry hosts that may hold connections, this one included, as far as hosts heard of each
     /// other; 0 if the documents list them.
     pub members: u32,
@@ -70,7 +72,7 @@
         view.classes.insert(selector.name.clone(), class(selector, service, registry));
     }
     for routing in routings {
-        let by_service = add_leafs(&mut view, routing, &leafs, registry);
+        let by_service = add_leafs(&mut view, routing, &leafs, fleet.data_centre, registry);
         routing::compile(&mut view, routing, &by_service, registry);
     }
     view
@@ -81,6 +83,7 @@
     view: &mut view::View,
     routing: &routing::Routing,
     leafs: &IndexMap<&CompactString, &Leaf>,
+    here: &str,
     registry: &mut view::Registry,
 ) -> IndexMap<CompactString, Vec<id::Server>> {
     let connections: IndexMap<&CompactString, u32> =
@@ -98,6 +101,7 @@
             connections: connections.get(&leaf.service).copied().unwrap_or_default(),
             slots: leaf.slots,
             leaving: registry.is_leaving(id, 0),
+            distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
         };
         put_server(view, id, server);
         by_service.entry(leaf.service.clone()).or_default().push(id);
@@ -141,6 +145,7 @@
         connections: server.connections,
         slots: server.slots,
         leaving: is_marked || registry.is_leaving(id, listed.incarnation),
+        distance: view::Distance::Near,
     };
     put_server(view, id, row);
 }
--- a/crates/core/src/traffic/choose.rs
+++ b/crates/core/src/traffic/choose.rs
@@ -29,14 +29,14 @@
             return self.choose_by_key(query, part);
         }
         let may_try_more = class.servers_most.is_none_or(|most| state.servers() < usize::from(most));
-        let mut best: Option<(u8, u32, id::Server)> = None;
-        let mut second: Option<(u8, u32, id::Server)> = None;
+        let mut best: Option<(u8, view::Distance, u32, id::Server)> = None;
+        let mut second: Option<(u8, view::Distance, u32, id::Server)> = None;
         for &id in replicas {
             if !self.is_open(id) || !may_try_more && !state.was_tried(id) {
                 continue;
             }
             let rank = self.rank(id, &state, want);
-            let candidate = (rank, self.random.random::<u32>(), id);
+            let candidate = (rank, self.distance(id), self.random.random::<u32>(), id);
             if best.is_none_or(|held| candidate < held) {
                 second = best.replace(candidate);
                 continue;
@@ -45,18 +45,30 @@
                 second = Some(candidate);
             }
         }
-        let (rank, _, first) = best?;
-        let Some((second_rank, _, second)) = second else {
+        let (rank, .., first) = best?;
+        let Some((second_rank, .., second)) = second else {
             return Some(first);
         };
         if second_rank != rank || !self.policy.two_choices {
             return Some(first);
         }
-        let weight = self.policy.reported_load_weight;
-        let scores = [first, second].map(|id| self.servers[id.index()].score(self.now, weight));
+        let scores = [first, second].map(|id| self.score(id));
         Some(if scores[1] * self.policy.score_band < scores[0] { second } else { first })
     }
 
+    fn distance(&self, id: id::Server) -> view::Distance {
+        self.view.server(id).map_or(view::Distance::Far, |server| server.distance)
+    }
+
+    /// What an attempt at `id` is expected to cost: its time, and more if its bytes leave the data centre.
+    fn score(&self, id: id::Server) -> f64 {
+        let score = self.servers[id.index()].score(self.now, self.policy.reported_load_weight);
+        match self.distance(id) {
+            view::Distance::Near => score,
+            view::Distance::Far => score * self.policy.far_cost,
+        }
+    }
+
     /// Smaller is better. Classes of replicas are kept apart so that load decides only among equals.
     fn rank(&self, id: id::Server, part: &query::Part, want: Option<view::Snapshot>) -> u8 {
         let state = &self.servers[id.index()];
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -79,6 +79,9 @@
     /// Replicas whose expected time is within this factor of the best are equal, and chance decides:
     /// small differences are noise, and all would follow it to one server. Default 1.
     pub score_band: f64,
+    /// How many times the expected time of a replica in another data centre counts: bytes between data
+    /// centres cost, and a replica nearby is preferred until it is so much slower. Default 1.
+    pub far_cost: f64,
     /// This host's part of the bound on extra attempts that all hosts together must keep for each
     /// service. Default none.
     pub fleet: Option<Fleet>,
@@ -126,6 +129,7 @@
             linger: clock::Millis::ZERO,
             silence: clock::Millis::ZERO,
             score_band: 1.0,
+            far_cost: 1.0,
             fleet: None,
         }
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -86,6 +86,19 @@
     pub slots: u32,
     /// Whether it was marked as leaving in this incarnation.
     pub leaving: bool,
+    /// How far it is from this host.
+    pub distance: Distance,
+}
+
+/// How far a server is, for the choice among replicas.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Distance {
+    /// In this host's data centre, or the documents do not say.
+    #[default]
+    Near,
+    /// In another one.
+    Far,
 }
 
 impl Server {
--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -47,6 +47,25 @@
     assert!(outcome.quantile(0.99) <= 100, "p99 {}", outcome.quantile(0.99));
 }
 
+/// Bytes between data centres cost as much as the machines. Each shard has a leaf in the host's own data
+/// centre and one in another, and chance sent half of all attempts across.
+/// What is left are second attempts, which must go there.
+#[rstest]
+fn attempts_stay_in_the_data_centre(#[values(1, 2, 3)] seed: u64) {
+    let plan = Plan { centres: 2, ..Plan::default() };
+    let outcome = town::run(plan, &town::knobs(), seed);
+    assert!(outcome.far < 0.13, "far {:.3}", outcome.far);
+    assert!(outcome.worth > 0.99, "worth {:.3}", outcome.worth);
+}
+
+/// The leafs nearby are eight times slower than usual: then the way across is worth its bytes.
+#[rstest]
+fn a_slow_leaf_nearby_is_left_for_one_far_away(#[values(1, 2, 3)] seed: u64) {
+    let plan = Plan { centres: 2, ..Plan::default() }.one_replica_of(20, Ill::Slow(8.0));
+    let outcome = town::run(plan, &town::knobs(), seed);
+    assert!(outcome.worth > 0.95, "worth {:.3}", outcome.worth);
+}
+
 /// Whatever the trouble, extra arrivals stay inside the bound that all hosts keep together.
 #[rstest]
 #[case::shy(Ill::Shy(0.9))]
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -15,7 +15,15 @@
     let name = CompactString::const_new("leaf");
     let replicas = vec![registry.intern(&name)];
     let address = name.clone();
-    let server = view::Server { address, name, incarnation: 1, connections, slots: connections, leaving: false };
+    let server = view::Server {
+        address,
+        name,
+        incarnation: 1,
+        connections,
+        slots: connections,
+        leaving: false,
+        distance: view::Distance::Near,
+    };
     let class = view::Class {
         name: CompactString::const_new("ask"),
         service: CompactString::const_new("s"),
--- a/crates/core/tests/town/mod.rs
+++ b/crates/core/tests/town/mod.rs
@@ -64,6 +64,8 @@
     /// A leaf stands still for `pause` ms once in `pause_every` ms.
     pub pause: u64,
     pub pause_every: u64,
+    /// Data centres, over which hosts and the replicas of each shard are dealt in turn; 1 for no matter.
+    pub centres: usize,
     pub troubles: Vec<Trouble>,
 }
 
@@ -85,6 +87,7 @@
             seconds: 20,
             pause: 0,
             pause_every: 3000,
+            centres: 1,
             troubles: Vec::new(),
         }
     }
@@ -111,6 +114,8 @@
     pub worth: f64,
     /// Arrivals at leafs beyond the first for each request and shard, as a share of the first ones.
     pub extra: f64,
+    /// Share of the arrivals that came from another data centre.
+    pub far: f64,
     pub latencies: Vec<u64>,
     /// Time to a refusal or failure, the longest.
     pub longest_refusal: u64,
@@ -171,6 +176,7 @@
     next_caller: u64,
     first: u64,
     arrivals: u64,
+    far_arrivals: u64,
     outcome: Outcome,
 }
 
@@ -189,6 +195,7 @@
         linger: clock::Millis(300),
         silence: clock::Millis(150),
         score_band: 1.5,
+        far_cost: 2.0,
         fleet: Some(policy::Fleet { ratio: 0.2, slack: 56.0 }),
         ..policy::Policy::default()
     }
@@ -204,12 +211,12 @@
 impl Town {
     fn new(plan: Plan, policy: &policy::Policy, seed: u64) -> Self {
         let mut random = rngs::SmallRng::seed_from_u64(seed);
-        let view = Arc::new(view(&plan));
         let mut hosts = Vec::new();
         for host in 0..plan.hosts {
+            let view = Arc::new(view(&plan, host));
             let lane = traffic::Lane { index: 0, count: 1 };
             let mut core = traffic::Core::new(policy.clone(), lane, seed ^ (host as u64) << 32, clock::Millis(1));
-            core.step(clock::Millis(1), [event::Input::View(Arc::clone(&view))]);
+            core.step(clock::Millis(1), [event::Input::View(view)]);
             hosts.push(core);
         }
         let mut leafs = Vec::new();
@@ -230,6 +237,7 @@
             next_caller: 0,
             first: 0,
             arrivals: 0,
+            far_arrivals: 0,
             outcome: Outcome::default(),
             plan,
         };
@@ -275,6 +283,7 @@
             }
         }
         self.outcome.worth /= self.outcome.asked.max(1) as f64;
+        self.outcome.far = self.far_arrivals as f64 / self.arrivals.max(1) as f64;
         self.outcome.extra = self.arrivals as f64 / self.first.max(1) as f64 - 1.0;
     }
 
@@ -332,6 +341,8 @@
         let leaf = dispatch.server.index();
         if self.is_counted(self.now) {
             self.arrivals += 1;
+            let is_far = host % self.plan.centres != leaf % self.plan.replicas % self.plan.centres;
+            self.far_arrivals += u64::from(is_far);
         }
         let ill = self.ill(leaf);
         let luck = self.random.random::<f64>();
@@ -408,7 +419,7 @@
     }
 }
 
-fn view(plan: &Plan) -> view::View {
+fn view(plan: &Plan, host: usize) -> view::View {
     let mut registry = view::Registry::default();
     let mut servers = Vec::new();
     let mut targets = Vec::new();
@@ -418,6 +429,7 @@
         for replica in 0..plan.replicas {
             let leaf = format_compact!("{shard}-{replica}");
             replicas.push(registry.intern(&leaf));
+            let is_near = replica % plan.centres == host % plan.centres;
             servers.push(Some(view::Server {
                 address: leaf.clone(),
                 name: leaf,
@@ -425,6 +437,7 @@
                 connections: plan.connections,
                 slots: plan.slots as u32,
                 leaving: false,
+                distance: if is_near { view::Distance::Near } else { view::Distance::Far },
             }));
         }
         targets.push(view::Target { service: registry.intern_service(&name), shard: name, replicas });
