--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -103,6 +103,8 @@
         data_centre: CompactString::const_new("dc-0"),
         peer: mesh::peer(0),
         seeds: vec![mesh::peer(1)],
+        relay: CompactString::default(),
+        power: 0,
     };
     control::Core::new(control::Policy::default(), identity, document::READER, 1, clock::Millis(1))
 }
@@ -240,7 +242,7 @@
 
 fn ask(core: &mut traffic::Core, now: clock::Millis, caller: u64) -> Vec<event::Output> {
     let class = CompactString::const_new("ask-0-0");
-    let request = event::Request { caller: id::Caller(caller), class, patience: None, key: None };
+    let request = event::Request { caller: id::Caller(caller), class, patience: None, key: None, relayed: None };
     core.step(now, [event::Input::Request(request)])
 }
 
--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -88,6 +88,8 @@
                 slots: size.slots as u32,
                 leaving: false,
                 distance: view::Distance::Near,
+                own_share: None,
+                is_peer: false,
             }));
         }
         let service = registry.intern_service("service");
@@ -107,6 +109,7 @@
         aim: None,
         shape: view::Shape::Hits,
         servers_most: None,
+        relay: None,
         branches: vec![view::Branch { weight: 1.0, targets }],
     };
     let stamp = view::Stamp { version: 1, digest: 1 };
@@ -238,7 +241,10 @@
         row.asked.insert(caller, self.now);
         self.report.asked += u64::from(self.now >= self.setup.warm);
         let class = CompactString::const_new("ask");
-        self.step(host, event::Input::Request(event::Request { caller, class, patience: None, key: None }));
+        self.step(
+            host,
+            event::Input::Request(event::Request { caller, class, patience: None, key: None, relayed: None }),
+        );
     }
 
     fn step(&mut self, host: usize, input: event::Input) {
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -5,7 +5,7 @@
 
 use crate::{catalog, clock, rendezvous, view};
 
-use super::{Core, Output, Source, message, note};
+use super::{Core, Output, Source, member, message, note};
 
 /// Shortest pause between two exchanges of digests.
 const GOSSIP_LEAST: clock::Millis = clock::Millis(50);
@@ -39,21 +39,28 @@
             name: self.identity.name.clone(),
             data_centre: self.identity.data_centre.clone(),
             age: clock::Millis::ZERO,
+            relay: self.identity.relay.clone(),
+            power: self.identity.power,
+            leaving: self.is_leaving,
         });
         members
     }
 
     fn hear_of(&mut self, members: &[message::Member]) {
-        let mut has_joined = false;
+        let mut has_news = false;
         for member in members {
-            if member.peer == self.identity.peer || !self.members.hear(self.now, member) {
+            if member.peer == self.identity.peer {
+                continue;
+            }
+            let news = self.members.hear(self.now, member);
+            has_news |= news != member::News::None;
+            if news != member::News::Joined {
                 continue;
             }
-            has_joined = true;
             let known = self.members.count();
             self.outputs.push(Output::Note(note::Note::Joined { name: member.name.clone(), known }));
         }
-        if has_joined {
+        if has_news {
             self.compile();
             self.refresh_peers();
         }
@@ -61,9 +68,13 @@
 
     /// Members that fell silent are no longer asked, and after long no longer count.
     fn review_members(&mut self) {
-        if self.members.forget(self.now, self.policy.member_forget) {
+        let is_forgotten = self.members.forget(self.now, self.policy.member_forget);
+        if is_forgotten {
             let known = self.members.count();
             self.outputs.push(Output::Note(note::Note::Forgotten { known }));
+        }
+        let relays = self.members.relays(self.now, self.policy.member_quiet);
+        if is_forgotten || relays != self.relays {
             self.compile();
         }
         self.refresh_peers();
@@ -105,6 +116,12 @@
         }
     }
 
+    /// Tells some hosts at once that this one leaves, so that they pass nothing more on to it.
+    pub(super) fn on_leaving(&mut self) {
+        self.is_leaving = true;
+        self.probe();
+    }
+
     pub(super) fn on_revalidate(&mut self) {
         self.revalidate_at = Some(self.now);
         if matches!(self.reader.source, Source::Registry { .. }) {
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -19,11 +19,21 @@
 
 #[derive(Clone, Debug)]
 struct Row {
-    name: CompactString,
-    data_centre: CompactString,
+    member: message::Member,
     heard_at: clock::Millis,
 }
 
+/// What a digest brought about a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum News {
+    /// Nothing that matters.
+    None,
+    /// It is new.
+    Joined,
+    /// It leaves, or is another machine now.
+    Changed,
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub(super) struct Members {
@@ -36,16 +46,20 @@
         self.rows.len() + 1
     }
 
-    /// Takes what a digest says of `member`; `true` if it was not known.
-    pub(super) fn hear(&mut self, now: clock::Millis, member: &message::Member) -> bool {
+    /// Takes what a digest says of `member`.
+    pub(super) fn hear(&mut self, now: clock::Millis, member: &message::Member) -> News {
         let heard_at = now - member.age;
-        if let Some(row) = self.rows.get_mut(&member.peer) {
-            row.heard_at = row.heard_at.max(heard_at);
-            return false;
+        let Some(row) = self.rows.get_mut(&member.peer) else {
+            self.rows.insert(member.peer.clone(), Row { member: member.clone(), heard_at });
+            return News::Joined;
+        };
+        if heard_at <= row.heard_at {
+            return News::None;
         }
-        let row = Row { name: member.name.clone(), data_centre: member.data_centre.clone(), heard_at };
-        self.rows.insert(member.peer.clone(), row);
-        true
+        row.heard_at = heard_at;
+        let is_changed = row.member.leaving != member.leaving || row.member.power != member.power;
+        row.member = member.clone();
+        if is_changed { News::Changed } else { News::None }
     }
 
     /// Forgets members that were silent for longer than `forget`; whether any was.
@@ -61,8 +75,8 @@
         for (peer, row) in &self.rows {
             let is_quiet = now.since(row.heard_at) > quiet;
             hosts.push(plan::EntryHost {
-                name: row.name.clone(),
-                data_centre: row.data_centre.clone(),
+                name: row.member.name.clone(),
+                data_centre: row.member.data_centre.clone(),
                 peer: peer.clone(),
                 state: if is_quiet { plan::State::Leaving } else { plan::State::Live },
             });
@@ -70,6 +84,25 @@
         hosts
     }
 
+    /// Members that take requests of other hosts.
+    pub(super) fn relays(&self, now: clock::Millis, quiet: clock::Millis) -> Vec<plan::Relay> {
+        let mut relays = Vec::new();
+        for row in self.rows.values() {
+            let member = &row.member;
+            if member.relay.is_empty() {
+                continue;
+            }
+            relays.push(plan::Relay {
+                name: member.name.clone(),
+                data_centre: member.data_centre.clone(),
+                address: member.relay.clone(),
+                power: member.power,
+                is_open: !member.leaving && now.since(row.heard_at) <= quiet,
+            });
+        }
+        relays
+    }
+
     /// Some members to name in a digest.
     pub(super) fn sample(&self, now: clock::Millis, random: &mut rngs::SmallRng) -> Vec<message::Member> {
         let first = if self.rows.is_empty() { 0 } else { random.random_range(0..self.rows.len()) };
@@ -78,12 +111,8 @@
             let Some((peer, row)) = self.rows.get_index((first + step) % self.rows.len()) else {
                 continue;
             };
-            members.push(message::Member {
-                peer: peer.clone(),
-                name: row.name.clone(),
-                data_centre: row.data_centre.clone(),
-                age: now.since(row.heard_at),
-            });
+            let age = now.since(row.heard_at);
+            members.push(message::Member { peer: peer.clone(), age, ..row.member.clone() });
         }
         members
     }
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -70,6 +70,12 @@
     pub data_centre: CompactString,
     /// Time since it was last heard by anyone, as far as the sender knows.
     pub age: clock::Millis,
+    /// `IP:PORT` at which it takes requests of other hosts; empty if it takes none.
+    pub relay: CompactString,
+    /// Its processor, in thousandths of a core.
+    pub power: u32,
+    /// Whether it finishes what it has and goes.
+    pub leaving: bool,
 }
 
 /// A request for a catalog.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -94,6 +94,10 @@
     /// Hosts to ask before any list is known, `IP:PORT`, alike on every host of a data centre; this
     /// host may be one of them.
     pub seeds: Vec<CompactString>,
+    /// `IP:PORT` at which it takes requests of other hosts; empty if it takes none.
+    pub relay: CompactString,
+    /// Its processor, in thousandths of a core.
+    pub power: u32,
 }
 
 /// Where configuration and lists of hosts come from.
@@ -157,6 +161,8 @@
     Peer(message::Message),
     /// A traffic core woke from a pause.
     Revalidate,
+    /// This host finishes what it has and goes.
+    Leaving,
 }
 
 /// Something for the shell to do.
@@ -272,6 +278,9 @@
     /// Hosts of this data centre, by rank; the first ones watch, and the order is the push tree's.
     ranked: Vec<CompactString>,
     members: member::Members,
+    /// Members that take requests of others, as the view in force has them.
+    relays: Vec<plan::Relay>,
+    is_leaving: bool,
     registry: registry::Registry,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
@@ -296,6 +305,8 @@
             peers: IndexMap::new(),
             ranked: Vec::new(),
             members: member::Members::default(),
+            relays: Vec::new(),
+            is_leaving: false,
             registry: registry::Registry::default(),
             gossip_at: now,
             started_at: now,
@@ -338,6 +349,7 @@
             Input::Changes { ticket, changes } => self.on_changes(ticket, changes),
             Input::Peer(message) => self.on_message(message),
             Input::Revalidate => self.on_revalidate(),
+            Input::Leaving => self.on_leaving(),
         }
     }
 
@@ -505,7 +517,15 @@
             Source::Documents => 0,
             Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
         };
-        let fleet = plan::Fleet { data_centre: &self.identity.data_centre, members, held: &held };
+        self.relays = self.members.relays(self.now, self.policy.member_quiet);
+        let this = plan::Relay {
+            name: self.identity.name.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            address: self.identity.relay.clone(),
+            power: self.identity.power,
+            is_open: true,
+        };
+        let fleet = plan::Fleet { this: Some(&this), members, relays: &self.relays, held: &held };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -42,6 +42,9 @@
 pub struct Service(pub u32);
 
 impl Service {
+    /// Stands for other hosts, whose work is not bounded as a service's is.
+    pub const PEERS: Self = Self(u32::MAX);
+
     /// The index into tables of services.
     pub fn index(self) -> usize {
         self.0 as usize
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -5,13 +5,15 @@
 
 use crate::{id, mutant, view};
 
-use super::{BackendServer, EntryHost, Leaf, Part, Selector, Server, Service, State, routing, targets};
+use super::{BackendServer, EntryHost, Leaf, Part, Relay, Selector, Server, Service, State, routing, targets};
 
 /// What a host knows that no document says.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Fleet<'l> {
-    /// This host's data centre; empty if the documents do not tell servers' either.
-    pub data_centre: &'l str,
+    /// This host; `None` if the documents say all that is needed.
+    pub this: Option<&'l Relay>,
+    /// The other hosts that take requests of this one.
+    pub relays: &'l [Relay],
     /// Entry hosts that may hold connections, this one included, as far as hosts heard of each
     /// other; 0 if the documents list them.
     pub members: u32,
@@ -72,24 +74,29 @@
         view.classes.insert(selector.name.clone(), class(selector, service, registry));
     }
     for routing in routings {
-        let by_service = add_leafs(&mut view, routing, &leafs, fleet.data_centre, registry);
-        routing::compile(&mut view, routing, &by_service, registry);
+        routing::add(&mut view, routing, &leafs, &fleet, registry);
     }
     view
 }
 
-/// Adds the servers that registered themselves, and returns them by service.
-fn add_leafs(
+/// Adds the servers that registered themselves, and returns them by service. `shares` are this host's
+/// shares of connections, by service, where they do not follow from the number of hosts.
+pub(super) fn add_leafs(
     view: &mut view::View,
     routing: &routing::Routing,
     leafs: &IndexMap<&CompactString, &Leaf>,
     here: &str,
+    shares: &IndexMap<CompactString, u32>,
     registry: &mut view::Registry,
 ) -> IndexMap<CompactString, Vec<id::Server>> {
     let connections: IndexMap<&CompactString, u32> =
         routing.services.iter().map(|service| (&service.name, service.connections)).collect();
     let mut by_service: IndexMap<CompactString, Vec<id::Server>> = IndexMap::new();
     for leaf in leafs.values() {
+        let accepted = connections.get(&leaf.service).copied().unwrap_or_default();
+        // A server that accepts fewer connections than there are hosts turns some away; that is better
+        // than hosts that cannot reach it at all.
+        let equal = (accepted / view.hosts.max(1)).max(1);
         let id = registry.intern(&leaf.name);
         if leaf.leaving {
             registry.mark_leaving(id, 0);
@@ -98,10 +105,12 @@
             name: leaf.name.clone(),
             address: leaf.address.clone(),
             incarnation: 0,
-            connections: connections.get(&leaf.service).copied().unwrap_or_default(),
+            connections: accepted,
             slots: leaf.slots,
             leaving: registry.is_leaving(id, 0),
             distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
+            own_share: Some(shares.get(&leaf.service).copied().unwrap_or(equal)),
+            is_peer: false,
         };
         put_server(view, id, server);
         by_service.entry(leaf.service.clone()).or_default().push(id);
@@ -109,7 +118,8 @@
     by_service
 }
 
-fn put_server(view: &mut view::View, id: id::Server, server: view::Server) {
+/// Puts a server into its place in the view.
+pub(super) fn put_server(view: &mut view::View, id: id::Server, server: view::Server) {
     if view.servers.len() <= id.index() {
         view.servers.resize(id.index() + 1, None);
     }
@@ -146,6 +156,8 @@
         slots: server.slots,
         leaving: is_marked || registry.is_leaving(id, listed.incarnation),
         distance: view::Distance::Near,
+        own_share: None,
+        is_peer: false,
     };
     put_server(view, id, row);
 }
@@ -172,5 +184,6 @@
         hedge: selector.hedge,
         priority: selector.priority,
         branches: vec![view::Branch { weight: 1.0, targets: compiled }],
+        relay: None,
     }
 }
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -14,10 +14,13 @@
 
 mod check;
 mod compile;
+pub mod owner;
+mod relay;
 mod routing;
 
 pub use check::check;
 pub use compile::{Fleet, compile};
+pub use relay::Relay;
 pub use routing::{Backing, Destination, Leaf, Route, Routing};
 
 /// A place in a document, from 1.
--- a/crates/core/src/plan/routing.rs
+++ b/crates/core/src/plan/routing.rs
@@ -6,9 +6,13 @@
 use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{clock, id, ratio, route, view};
+use crate::{clock, ratio, route, view};
 
-use super::{Fault, Place};
+use super::{
+    Fault, Place,
+    compile::{self, Fleet},
+    relay,
+};
 
 /// A configuration of routes.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -137,19 +141,33 @@
 }
 
 /// Adds the classes and routes of `routing` to `view`, with the servers of `leafs`.
-pub(super) fn compile(
+pub(super) fn add(
     view: &mut view::View,
     routing: &Routing,
-    leafs: &IndexMap<CompactString, Vec<id::Server>>,
+    leafs: &IndexMap<&CompactString, &Leaf>,
+    fleet: &Fleet<'_>,
     registry: &mut view::Registry,
 ) {
     view.number = routing.number;
     view.limits = routing.limits;
+    let sharings = sharings(routing, leafs, fleet);
+    let mut shares = IndexMap::new();
+    for (services, sharing) in &sharings {
+        for service in *services {
+            // Two gathers over one service have the same leafs, and most often the same owners.
+            let share = shares.entry(service.clone()).or_insert(0);
+            *share = sharing.share().max(*share);
+            view.parts.insert(registry.intern_service(service), sharing.part());
+        }
+    }
+    let here = fleet.this.map_or("", |this| this.data_centre.as_str());
+    let by_service = compile::add_leafs(view, routing, leafs, here, &shares, registry);
     let mut target = |service: &CompactString| view::Target {
         shard: service.clone(),
         service: registry.intern_service(service),
-        replicas: leafs.get(service).cloned().unwrap_or_default(),
+        replicas: by_service.get(service).cloned().unwrap_or_default(),
     };
+    let mut classes = Vec::new();
     for route in &routing.routes {
         let mut branches = Vec::new();
         match &route.to {
@@ -164,8 +182,48 @@
             }
         }
         view.routes.insert(&route.host, &route.prefix, &route.name);
-        view.classes.insert(route.name.clone(), class(route, branches));
+        classes.push(class(route, branches));
+    }
+    for (route, mut class) in routing.routes.iter().zip(classes) {
+        if let Destination::Gather { services, .. } = &route.to
+            && let (Some(sharing), Some(this)) = (sharings.get(services.as_slice()), fleet.this)
+        {
+            class.relay = sharing.target(services.len(), this, fleet.relays, view, registry);
+        }
+        view.classes.insert(class.name.clone(), class);
+    }
+}
+
+/// How the gathers' shards are shared among hosts, by set of shards.
+fn sharings<'r>(
+    routing: &'r Routing,
+    leafs: &IndexMap<&CompactString, &Leaf>,
+    fleet: &Fleet<'_>,
+) -> IndexMap<&'r [CompactString], relay::Sharing> {
+    let mut sharings = IndexMap::new();
+    let Some(this) = fleet.this else {
+        return sharings;
+    };
+    let mut by_service: IndexMap<CompactString, Vec<&Leaf>> = IndexMap::new();
+    for leaf in leafs.values() {
+        by_service.entry(leaf.service.clone()).or_default().push(leaf);
+    }
+    let connections: IndexMap<&CompactString, u32> =
+        routing.services.iter().map(|service| (&service.name, service.connections)).collect();
+    for route in &routing.routes {
+        let Destination::Gather { services, .. } = &route.to else {
+            continue;
+        };
+        if sharings.contains_key(services.as_slice()) {
+            continue;
+        }
+        // The set is named by its first shard, so that gathers over one set have the same owners.
+        let set = services.first().map_or("", CompactString::as_str);
+        let accepted = services.iter().filter_map(|service| connections.get(service)).min().copied().unwrap_or(1);
+        let sharing = relay::Sharing::new(set, services, &by_service, accepted, this, fleet.relays);
+        sharings.insert(services.as_slice(), sharing);
     }
+    sharings
 }
 
 fn class(route: &Route, branches: Vec<view::Branch>) -> view::Class {
@@ -192,5 +250,6 @@
         hedge: route.idempotent,
         priority: route.priority.min(view::Class::PRIORITIES as u8 - 1),
         branches,
+        relay: None,
     }
 }
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -22,6 +22,7 @@
 struct Place {
     selector: usize,
     branch: usize,
+    is_passed_on: bool,
 }
 
 impl super::Core {
@@ -42,7 +43,8 @@
         }
         let row = self.class_row(&request.class);
         let branch = self.pick_branch(row, class);
-        if !self.is_reachable(class, branch) {
+        let is_passed_on = request.relayed.is_none() && self.may_pass_on(class);
+        if !is_passed_on && !self.is_reachable(class, branch) {
             self.refuse(&request, event::Code::NoReplica, Some(NO_REPLICA_AFTER));
             return;
         }
@@ -70,8 +72,11 @@
             }
         }
         let deadline = self.now + patience - self.policy.margin;
-        let settle_at = class.aim.map(|aim| self.now + self.time_to_aim(row, aim, request.patience));
-        self.enqueue(request, row, Place { selector, branch }, deadline, settle_at);
+        let settle_at = match request.relayed {
+            Some(relayed) => relayed.settle.map(|settle| self.now + settle),
+            None => class.aim.map(|aim| self.now + self.time_to_aim(row, aim, request.patience)),
+        };
+        self.enqueue(request, row, Place { selector, branch, is_passed_on }, deadline, settle_at);
     }
 
     /// The alternative for the next request of a class.
@@ -109,6 +114,8 @@
             view: Arc::clone(&self.view),
             selector: place.selector,
             branch: place.branch,
+            is_passed_on: place.is_passed_on,
+            via: None,
             key: request.key,
             arrived: self.now,
             deadline,
@@ -132,11 +139,12 @@
     }
 
     /// Whether enough shards have a server that takes new work.
-    fn is_reachable(&self, class: &view::Class, branch: usize) -> bool {
+    pub(super) fn is_reachable(&self, class: &view::Class, branch: usize) -> bool {
         let targets = class.branches.get(branch).map_or(&[][..], |branch| &branch.targets);
         let mut open = 0;
         for target in targets {
-            open += usize::from(target.replicas.iter().any(|&id| self.is_open(id)));
+            let can_serve = |&id: &id::Server| self.is_open(id) && self.servers[id.index()].share > 0;
+            open += usize::from(target.replicas.iter().any(can_serve));
         }
         open > 0 && class.least_coverage.is_met(open, targets.len())
     }
@@ -233,25 +241,26 @@
         // A view that came while the query waited may have cut the alternatives anew.
         row.branch = row.branch.min(class.branches.len().saturating_sub(1));
         row.started.get_or_insert(now);
-        let targets = &class.branches[row.branch].targets;
-        row.parts = vec![query::Part::default(); targets.len()];
+        let parts = row.targets().len();
+        row.parts = vec![query::Part::default(); parts];
         row.groups.clear();
         row.failed = 0;
         row.want = None;
-        let count = targets.len() as u64;
+        let count = parts as u64;
         let class_row = row.class;
         if let Some(settle) = class.settle {
             row.settle_at = Some(now + settle);
         }
-        if let Some(settle_at) = row.settle_at {
+        let is_passed_on = row.is_passed_on;
+        if let Some(settle_at) = row.settle_at.filter(|_| !is_passed_on) {
             self.timers.push(settle_at.max(now), Timer::Settle(query));
         }
-        if row.restarts == 0 {
-            self.classes[class_row].hedges.earn(count);
-            self.classes[class_row].retries.earn(count);
-            for target in targets {
+        if !is_passed_on && row.restarts == 0 {
+            for target in row.targets() {
                 self.fleet.earn(target.service);
             }
+            self.classes[class_row].hedges.earn(count);
+            self.classes[class_row].retries.earn(count);
         }
         self.pick_snapshot(query);
         self.arm_hedge(query, now);
@@ -304,6 +313,7 @@
             missing: Vec::new(),
             shape: view::Shape::default(),
             failure: None,
+            via: None,
             retry_after,
             cost: event::Cost::default(),
         }));
--- a/crates/core/src/traffic/choose.rs
+++ b/crates/core/src/traffic/choose.rs
@@ -24,7 +24,7 @@
         let class = &view.classes[row.selector];
         let state = row.parts[part as usize];
         let want = row.want;
-        let replicas = &class.branches[row.branch].targets[part as usize].replicas;
+        let replicas = &row.target(part).replicas;
         if !class.idempotent && row.key.is_some() {
             return self.choose_by_key(query, part);
         }
@@ -65,7 +65,7 @@
         let score = self.servers[id.index()].score(self.now, self.policy.reported_load_weight);
         match self.distance(id) {
             view::Distance::Near => score,
-            view::Distance::Far => score * self.policy.far_cost,
+            view::Distance::Far | view::Distance::Last => score * self.policy.far_cost,
         }
     }
 
@@ -76,10 +76,12 @@
         let is_out = state.is_ejected(self.now) && self.policy.ejection || state.is_silent(self.now);
         let lacks = want.is_some_and(|want| state.holds[0].is_some() && !state.holds(want));
         let is_full = state.share == 0;
+        let is_last = self.distance(id) == view::Distance::Last;
         let has_no_room = self.policy.prefer_room && !state.has_room(self.now);
-        u8::from(was_tried) * 16
-            + u8::from(is_full) * 8
-            + u8::from(is_out) * 4
+        u8::from(was_tried) * 32
+            + u8::from(is_full) * 16
+            + u8::from(is_out) * 8
+            + u8::from(is_last) * 4
             + u8::from(lacks) * 2
             + u8::from(has_no_room)
     }
--- a/crates/core/src/traffic/class.rs
+++ b/crates/core/src/traffic/class.rs
@@ -58,6 +58,8 @@
     pub(crate) runs: window::Window,
     /// Time from an attempt's dispatch to its answer.
     pub(crate) attempts: window::Window,
+    /// Time from passing a request on to its answer.
+    pub(crate) relays: window::Window,
     pub(crate) hedges: budget::Bucket,
     pub(crate) retries: budget::Bucket,
     /// Until when queries pick a snapshot before they start, because replies were mixed.
@@ -81,6 +83,7 @@
             queue: VecDeque::new(),
             runs: window::Window::default(),
             attempts: window::Window::default(),
+            relays: window::Window::default(),
             hedges: budget::Bucket::new(policy.hedge_fraction, policy.burst),
             retries: budget::Bucket::new(policy.retry_fraction, policy.burst),
             rolling_until: clock::Millis::ZERO,
@@ -102,9 +105,10 @@
         self.running < limit
     }
 
-    /// What an attempt usually takes.
-    pub(crate) fn usual_attempt(&self) -> clock::Millis {
-        self.attempts.quantile(0.5).unwrap_or(ATTEMPT_PRIOR)
+    /// What an attempt usually takes at a backend server, or at another host.
+    pub(crate) fn usual_attempt(&self, is_relay: bool) -> clock::Millis {
+        let window = if is_relay { &self.relays } else { &self.attempts };
+        window.quantile(0.5).unwrap_or(ATTEMPT_PRIOR)
     }
 
     /// Typical time of a run.
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -58,6 +58,7 @@
         let name = published.name.clone();
         let address = published.address.clone();
         let is_leaving = published.leaving;
+        let relayed = self.queries.get(query.0).and_then(|row| self.relayed(row));
         let Some(row) = self.queries.get_mut(query.0) else {
             return;
         };
@@ -65,7 +66,8 @@
         let view = Arc::clone(&row.view);
         let selector = &view.classes[row.selector];
         let is_paid = std::mem::take(&mut row.parts[part as usize].is_paid);
-        let attempt = query::Attempt { query, part, server, sent: now, kind, class, is_paid };
+        let attempt =
+            query::Attempt { query, part, server, sent: now, kind, class, is_paid, is_relay: relayed.is_some() };
         let attempt = id::Attempt(self.attempts.insert(attempt));
         if kind == query::Kind::Retry {
             self.note_extra(query, part, server, note::Cause::Failure);
@@ -89,12 +91,13 @@
             server,
             name,
             address,
-            shard: selector.branches[row.branch].targets[part as usize].shard.clone(),
+            shard: row.target(part).shard.clone(),
             key: row.key.clone(),
             deadline: row.deadline,
             epoch: selector.epoch,
             want: row.want,
             shape: selector.shape,
+            relayed,
             idempotent: selector.idempotent,
         };
         let service = row.target(part).service;
@@ -198,7 +201,8 @@
             self.settle(query);
             return;
         }
-        let is_allowed = selector.idempotent || was_not_run || mutant::is(mutant::Mutant::RetryUnknown);
+        let is_repeatable = selector.idempotent && !row.is_passed_on;
+        let is_allowed = is_repeatable || was_not_run || mutant::is(mutant::Mutant::RetryUnknown);
         if !is_allowed {
             self.finish_unanswered(query, event::Code::AttemptLost, None);
             return;
@@ -207,6 +211,12 @@
         let may_try_more = selector.servers_most.is_none_or(|most| state.servers() < usize::from(most));
         let has_fresh = may_try_more && replicas.iter().any(|&id| !state.was_tried(id) && self.is_open(id));
         let is_spent = state.tries >= self.policy.attempts_per_shard;
+        // A host that did nothing is no loss, and this one can gather itself.
+        let is_free = is_free || row.is_passed_on && was_not_run;
+        let is_exhausted = row.is_passed_on && !has_fresh;
+        if is_exhausted && self.gather_here(query) {
+            return;
+        }
         if is_spent {
             self.fail_part(query, part);
             return;
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -42,6 +42,15 @@
     pub patience: Option<clock::Millis>,
     /// The request key. Requests that are not idempotent and share a key run at most once.
     pub key: Option<CompactString>,
+    /// Set if another host passed the request on to be gathered here.
+    pub relayed: Option<Relayed>,
+}
+
+/// What a host that passes a request on says of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Relayed {
+    /// Time until an answer should leave although shards are silent, from now.
+    pub settle: Option<clock::Millis>,
 }
 
 /// How an attempt ended.
@@ -133,6 +142,8 @@
     pub want: Option<view::Snapshot>,
     /// What the answer to the caller is made of.
     pub shape: view::Shape,
+    /// Set if the server is another host, which is to gather for this one.
+    pub relayed: Option<Relayed>,
     /// Whether the request may run twice. If not, a connection that may have gone bad while it was
     /// idle is not worth the risk of an unknown end.
     pub idempotent: bool,
@@ -199,6 +210,8 @@
     AttemptLost,
     /// The server ran it and failed; its own answer is handed on.
     ServerFailed,
+    /// The host to which it was passed on says nothing.
+    HostSilent,
     /// The caller hung up.
     CallerGone,
     /// A promise would have been broken; the answer was withheld.
@@ -223,6 +236,7 @@
             Self::DuplicateKey => "duplicate_key",
             Self::AttemptLost => "attempt_lost",
             Self::ServerFailed => "server_failed",
+            Self::HostSilent => "host_silent",
             Self::CallerGone => "caller_gone",
             Self::Withheld => "withheld",
         }
@@ -245,6 +259,7 @@
             Self::DuplicateKey => "A request with this key is running or ran; it was not run again.",
             Self::AttemptLost => "The only attempt came to an unknown end; it was not sent again.",
             Self::ServerFailed => "The server ran the request and failed.",
+            Self::HostSilent => "The host that gathers for this one says nothing; ask again.",
             Self::CallerGone => "The caller hung up.",
             Self::Withheld => "The answer would have broken a promise and was withheld.",
         }
@@ -280,6 +295,8 @@
     pub shape: view::Shape,
     /// The attempt whose failure is handed on as the answer.
     pub failure: Option<id::Attempt>,
+    /// The host that gathered it, if it was passed on.
+    pub via: Option<CompactString>,
     /// When to come back, from now; set on every refusal that may pass.
     pub retry_after: Option<clock::Millis>,
     /// What it cost.
--- a/crates/core/src/traffic/fleet.rs
+++ b/crates/core/src/traffic/fleet.rs
@@ -6,6 +6,8 @@
 //! starts without tokens, so that its life before a restart and the one after it stay inside one
 //! part of the slack.
 
+use indexmap::IndexMap;
+
 use crate::{budget, id};
 
 use super::policy;
@@ -18,36 +20,41 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     bound: Option<policy::Fleet>,
-    /// Hosts times lanes that share the slack.
-    sharers: u32,
+    /// This lane's part of the slack where nothing else is said, as a share.
+    usual: f64,
     rows: Vec<budget::Bucket>,
 }
 
 impl Fleet {
     pub(crate) fn new(bound: Option<policy::Fleet>) -> Self {
-        Self { bound, sharers: 1, rows: Vec::new() }
+        Self { bound, usual: 1.0, rows: Vec::new() }
     }
 
-    /// Sets among how many the slack is cut.
-    pub(crate) fn set_sharers(&mut self, sharers: u32) {
-        let sharers = sharers.max(1);
-        if self.sharers == sharers {
+    /// Sets this lane's parts of the slack: `usual`, and others for the services in `parts`, which are
+    /// for the whole host with its `lanes`.
+    pub(crate) fn set_parts(&mut self, usual: f64, parts: &IndexMap<id::Service, f64>, lanes: u32) {
+        self.usual = usual / f64::from(lanes);
+        let Some(bound) = self.bound else {
             return;
+        };
+        for (index, row) in self.rows.iter_mut().enumerate() {
+            if !parts.contains_key(&id::Service(index as u32)) {
+                row.set_capacity(bound.slack * GIVEN * self.usual);
+            }
         }
-        self.sharers = sharers;
-        let capacity = self.capacity();
-        for row in &mut self.rows {
-            row.set_capacity(capacity);
+        for (&service, part) in parts {
+            if let Some(row) = self.row(service) {
+                row.set_capacity(bound.slack * GIVEN * part / f64::from(lanes));
+            }
         }
     }
 
-    fn capacity(&self) -> f64 {
-        self.bound.map_or(0.0, |bound| bound.slack * GIVEN / f64::from(self.sharers))
-    }
-
     fn row(&mut self, service: id::Service) -> Option<&mut budget::Bucket> {
-        let ratio = self.bound?.ratio;
-        let capacity = self.capacity();
+        if service == id::Service::PEERS {
+            return None;
+        }
+        let bound = self.bound?;
+        let (ratio, capacity) = (bound.ratio, bound.slack * GIVEN * self.usual);
         if self.rows.len() <= service.index() {
             self.rows.resize_with(service.index() + 1, || budget::Bucket::empty(ratio, capacity));
         }
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -22,7 +22,7 @@
             query.parts[row.part as usize].remove_live(attempt);
         }
         if reply != event::Reply::NotSent {
-            self.servers[row.server.index()].on_word();
+            self.servers[row.server.index()].on_word(self.now);
         }
         match reply {
             event::Reply::Answered(part) => self.on_part(attempt, row, part),
@@ -38,18 +38,24 @@
     fn on_part(&mut self, attempt: id::Attempt, row: query::Attempt, part: event::Part) {
         let took = self.now.since(row.sent);
         let was_out = self.servers[row.server.index()].is_ejected(self.now);
-        let usual = self.classes[row.class].usual_attempt();
+        let usual = self.classes[row.class].usual_attempt(row.is_relay);
         let state = &mut self.servers[row.server.index()];
         state.on_answer(self.now, took, usual, part.load);
         state.holds = [Some(part.snapshot), part.held];
         self.ejected = self.ejected.saturating_sub(usize::from(was_out));
         self.release(row.server);
         let class = row.class;
-        self.classes[class].attempts.record(took);
+        if row.is_relay {
+            self.classes[class].relays.record(took);
+        } else {
+            self.classes[class].attempts.record(took);
+        }
+        let via = row.is_relay.then(|| self.server_name(row.server));
         let Some(query) = self.queries.get_mut(row.query.0) else {
             return;
         };
         query.may_have_run = true;
+        query.via = via;
         // An attempt that ran on after another one had answered.
         if query.parts[row.part as usize].has_reply() && query.want.is_none() {
             return;
@@ -99,7 +105,7 @@
             return;
         };
         let took = self.now.since(row.sent);
-        let usual = self.classes[row.class].usual_attempt();
+        let usual = self.classes[row.class].usual_attempt(row.is_relay);
         self.servers[row.server.index()].on_silence(self.now, took, usual);
         self.outputs.push(event::Output::Cancel { attempt });
         self.timers.push(self.now + self.policy.close_lag, Timer::Closed(row.server));
@@ -120,6 +126,12 @@
             query.may_have_run = true;
             query.failure = Some(attempt);
         }
+        // Another host did what could be done; its failure to gather says nothing of the host itself.
+        if row.is_relay {
+            self.release(row.server);
+            self.finish_unanswered(row.query, event::Code::ServerFailed, None);
+            return;
+        }
         self.note_failure(row.server);
         self.release(row.server);
         self.retry(row.query, row.part, false, false);
@@ -252,6 +264,12 @@
 
     /// A shard is given up. The query ends at once when the rest cannot meet the least coverage.
     pub(super) fn fail_part(&mut self, query: id::Query, part: u32) {
+        let Some(row) = self.queries.get_mut(query.0) else {
+            return;
+        };
+        if row.is_passed_on && row.parts[part as usize].live_count() == 0 && self.gather_here(query) {
+            return;
+        }
         let Some(row) = self.queries.get_mut(query.0) else {
             return;
         };
@@ -461,7 +479,7 @@
         let may_have_run = row.may_have_run || is_live;
         let is_not_run = !may_have_run || mutant::is(mutant::Mutant::AssumeNotRun);
         let outcome = if is_not_run { event::Outcome::NotRun } else { event::Outcome::Unknown };
-        let is_handed_on = row.failure.is_some() && row.selector().shape == view::Shape::Whole;
+        let is_handed_on = row.failure.is_some() && row.shape() == view::Shape::Whole;
         let code = if is_handed_on { event::Code::ServerFailed } else { code };
         let missing = row.targets().iter().map(|target| target.shard.clone()).collect();
         self.end(query, outcome, code, retry_after, None, Vec::new(), missing);
@@ -484,7 +502,7 @@
         if self.callers.swap_remove(&row.caller) != Some(query) {
             self.breach(invariant::Name::OwnWholeAnswer, format!("{query}: {:?} has no such query", row.caller));
         }
-        let is_left = code == event::Code::CallerGone;
+        let is_left = matches!(code, event::Code::CallerGone | event::Code::HostSilent);
         for attempt in row.parts.iter().flat_map(|part| part.live).flatten() {
             if is_left {
                 self.cancel(attempt);
@@ -504,7 +522,8 @@
             snapshot,
             contributed,
             missing,
-            shape: row.selector().shape,
+            shape: row.shape(),
+            via: row.via.clone(),
             failure: row.failure.filter(|_| code == event::Code::ServerFailed),
             retry_after,
             cost: row.cost,
--- a/crates/core/src/traffic/hedge.rs
+++ b/crates/core/src/traffic/hedge.rs
@@ -2,7 +2,7 @@
 
 use crate::{clock, id};
 
-use super::{note, query, timer::Timer};
+use super::{note, query, relay, timer::Timer};
 
 /// Delay before a hedge while the class has no sample yet.
 const DELAY_PRIOR: clock::Millis = clock::Millis(50);
@@ -17,13 +17,17 @@
         if !selector.hedge || !selector.idempotent || self.policy.hedge_fraction <= 0.0 {
             return;
         }
-        let delay = self.hedge_delay(row.class, selector.aim);
+        let delay = self.hedge_delay(row.class, row);
         self.timers.push(since + delay, Timer::Hedge(query));
     }
 
     /// After how long an attempt counts as silent. Where there is an aim, no later than leaves half of
     /// it for the hedge.
-    fn hedge_delay(&self, class: usize, aim: Option<clock::Millis>) -> clock::Millis {
+    fn hedge_delay(&self, class: usize, query: &query::Query) -> clock::Millis {
+        if query.is_passed_on {
+            return self.relay_delay(class);
+        }
+        let aim = query.selector().aim;
         let usual = self.classes[class].attempts.quantile(self.policy.hedge_quantile);
         let latest = aim.map_or(clock::Millis::MAX, |aim| clock::Millis(aim.0 / 2));
         usual.unwrap_or(DELAY_PRIOR).min(latest).max(self.policy.hedge_floor)
@@ -34,8 +38,8 @@
         let Some(row) = self.queries.get(query.0) else {
             return;
         };
-        let class = row.class;
-        let delay = self.hedge_delay(class, row.selector().aim);
+        let delay = self.hedge_delay(row.class, row);
+        let is_passed_on = row.is_passed_on;
         let mut next: Option<clock::Millis> = None;
         for part in 0..row.parts.len() as u32 {
             let Some(sent) = self.silent_since(query, part) else {
@@ -46,6 +50,10 @@
                 continue;
             }
             self.note_silent(query, part, sent);
+            if is_passed_on {
+                self.wait_for_host(query, sent);
+                return;
+            }
             if !self.hedge_part(query, part) {
                 next = Some(self.now);
             }
@@ -65,7 +73,9 @@
         let Some(server) = live.and_then(|attempt| self.attempts.get(attempt.0)).map(|attempt| attempt.server) else {
             return;
         };
-        let pause = self.servers[server.index()].note_silent(self.now, self.policy.silence);
+        let is_peer = self.view.server(server).is_some_and(|server| server.is_peer);
+        let pause = if is_peer { relay::SILENCE } else { self.policy.silence };
+        let pause = self.servers[server.index()].note_silent(self.now, pause);
         if let Some(pause) = pause {
             let silent_for = self.now.since(sent);
             self.note(note::Note::Silent { server: self.server_name(server), silent_for, pause });
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -21,6 +21,7 @@
 pub mod note;
 pub mod policy;
 mod query;
+mod relay;
 mod server;
 pub mod summary;
 mod timer;
@@ -228,7 +229,8 @@
             return;
         }
         self.view = view;
-        self.fleet.set_sharers(self.view.hosts.saturating_mul(self.lane.count));
+        let usual = 1.0 / f64::from(self.view.hosts.max(1));
+        self.fleet.set_parts(usual, &self.view.parts, self.lane.count.max(1));
         self.servers.resize_with(self.view.servers.len().max(self.servers.len()), Default::default);
         for index in 0..self.servers.len() {
             self.refresh_server(id::Server(index as u32));
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -128,6 +128,10 @@
     pub(crate) started: Option<clock::Millis>,
     /// When an answer with the least coverage may go out although shards are silent.
     pub(crate) settle_at: Option<clock::Millis>,
+    /// It is passed on to another host.
+    pub(crate) is_passed_on: bool,
+    /// The host that answered it, if it was passed on.
+    pub(crate) via: Option<CompactString>,
     /// A server's own failure, to be handed on if nothing better comes.
     pub(crate) failure: Option<id::Attempt>,
     pub(crate) parts: Vec<Part>,
@@ -150,9 +154,17 @@
 
     /// The shards that it asks.
     pub(crate) fn targets(&self) -> &[view::Target] {
+        if self.is_passed_on {
+            return self.selector().relay.as_slice();
+        }
         self.selector().branches.get(self.branch).map_or(&[], |branch| &branch.targets)
     }
 
+    /// What its answer is made of.
+    pub(crate) fn shape(&self) -> view::Shape {
+        if self.is_passed_on { view::Shape::Whole } else { self.selector().shape }
+    }
+
     pub(crate) fn target(&self, part: u32) -> &view::Target {
         &self.targets()[part as usize]
     }
@@ -218,6 +230,8 @@
     pub(crate) class: usize,
     /// Whether tokens of the budgets were spent on it.
     pub(crate) is_paid: bool,
+    /// Whether it passes the request on to another host.
+    pub(crate) is_relay: bool,
 }
 
 /// Why an attempt is made.
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -56,6 +56,8 @@
     /// Until when it is passed over because attempts were silent, and how often in a row.
     silent_until: clock::Millis,
     silences: u32,
+    /// When it last said anything.
+    word_at: clock::Millis,
     limit: f64,
     /// Moving average of the time to an answer, relative to what is usual in the class.
     slowness: f64,
@@ -83,6 +85,7 @@
             is_replaced: false,
             silent_until: clock::Millis::ZERO,
             silences: 0,
+            word_at: clock::Millis::ZERO,
             limit: COLD_LIMIT,
             slowness: USUAL,
             trouble: 0.0,
@@ -137,11 +140,17 @@
     }
 
     /// The server said something, whatever it was.
-    pub(crate) fn on_word(&mut self) {
+    pub(crate) fn on_word(&mut self, now: clock::Millis) {
+        self.word_at = now;
         self.silent_until = clock::Millis::ZERO;
         self.silences = 0;
     }
 
+    /// Whether it said anything after `since`.
+    pub(crate) fn spoke_since(&self, since: clock::Millis) -> bool {
+        self.word_at > since
+    }
+
     pub(crate) fn shed_until(&self) -> clock::Millis {
         self.shed_until
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -88,6 +88,10 @@
     pub leaving: bool,
     /// How far it is from this host.
     pub distance: Distance,
+    /// This host's share of its connections, where it does not follow from the number of hosts.
+    pub own_share: Option<u32>,
+    /// Another entry host, which gathers for this one.
+    pub is_peer: bool,
 }
 
 /// How far a server is, for the choice among replicas.
@@ -99,6 +103,8 @@
     Near,
     /// In another one.
     Far,
+    /// Only when no other one will do.
+    Last,
 }
 
 impl Server {
@@ -106,7 +112,7 @@
     /// share follows the published list and never who is reachable, so the shares of both sides of
     /// a partition still add up to no more than the limit.
     pub fn share(&self, hosts: u32) -> u32 {
-        self.connections / hosts.max(1)
+        self.own_share.unwrap_or(self.connections / hosts.max(1))
     }
 }
 
@@ -177,6 +183,8 @@
     pub priority: u8,
     /// The alternatives; a request goes to one of them and is never moved to another.
     pub branches: Vec<Branch>,
+    /// Other hosts that gather requests of this class for this one, if it does not do so itself.
+    pub relay: Option<Target>,
 }
 
 impl Class {
@@ -201,6 +209,9 @@
     pub limits: Option<route::Limits>,
     /// The configuration's own number, for logs; 0 if it has none besides the stamp.
     pub number: u64,
+    /// This host's part of the bounds that all hosts keep together, by [`id::Service`], as a share;
+    /// services that are not here are shared by all hosts alike.
+    pub parts: IndexMap<id::Service, f64>,
     /// Servers by [`id::Server`]; `None` where a registered server is not published any more.
     pub servers: Vec<Option<Server>>,
 }
--- a/crates/core/tests/closing.rs
+++ b/crates/core/tests/closing.rs
@@ -16,7 +16,13 @@
 
 fn request(caller: u64) -> event::Input {
     let class = CompactString::const_new("ask");
-    event::Input::Request(event::Request { caller: id::Caller(caller), class, patience: None, key: None })
+    event::Input::Request(event::Request {
+        caller: id::Caller(caller),
+        class,
+        patience: None,
+        key: None,
+        relayed: None,
+    })
 }
 
 /// A guest hangs up, the attempt's connection is closed, and the next guest's attempt opens another
--- a/crates/core/tests/driver/world.rs
+++ b/crates/core/tests/driver/world.rs
@@ -113,6 +113,8 @@
         data_centre: CompactString::from(documents::data_centre(host)),
         peer: documents::peer(host),
         seeds: (0..documents::HOSTS).map(documents::peer).collect(),
+        relay: CompactString::default(),
+        power: 0,
     };
     let seed = seed ^ (host as u64) << 32 ^ u64::from(life) << 40;
     let policy = policy::Policy { burst: judge::BURST, ..policy::Policy::default() };
@@ -272,7 +274,7 @@
         let key = has_key.then(|| format_compact!("{host}-{life}-{number}"));
         let patience = self.random.random_bool(0.2).then(|| clock::Millis(self.random.random_range(0..400)));
         let class = CompactString::const_new(class);
-        let request = event::Request { caller: id::Caller(caller), class, patience, key };
+        let request = event::Request { caller: id::Caller(caller), class, patience, key, relayed: None };
         let happening = Happening::Traffic { host, life, input: event::Input::Request(request) };
         self.at(self.now, happening);
     }
--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -4,7 +4,8 @@
 mod town;
 
 use rstest::rstest;
-use town::{Ill, Plan};
+use shallothub_core::traffic::policy;
+use town::{HostTrouble, Ill, Plan};
 
 /// A guest sees the sweep come back late for seconds. One of the two leafs of each shard refuses most
 /// of what it gets, at once and politely. A refusal is no answer time, so the leaf looked as fast as its
@@ -66,6 +67,59 @@
     assert!(outcome.worth > 0.95, "worth {:.3}", outcome.worth);
 }
 
+/// A deployment of 60 weak hosts and 8 strong ones, 90 shards of 3 leafs. A weak host needs longer for
+/// the messages of a gather than the caller waits, and a leaf's connections are fewer than the hosts.
+fn grown() -> Plan {
+    Plan {
+        hosts: 68,
+        owners: 8,
+        shards: 90,
+        replicas: 3,
+        connections: 56 * 8,
+        least_coverage: 0.95,
+        rate: 60.0,
+        pause: 120,
+        ..Plan::default()
+    }
+}
+
+/// The knobs for that deployment, whose slack of extra attempts is larger.
+fn grown_knobs() -> policy::Policy {
+    policy::Policy { fleet: Some(policy::Fleet { ratio: 0.2, slack: 174.0 }), ..town::knobs() }
+}
+
+/// Weak hosts pass their requests on; what comes back is as good as an owner's own.
+#[rstest]
+fn requests_passed_on_are_answered_as_well(#[values(1, 2)] seed: u64) {
+    let outcome = town::run(grown(), &grown_knobs(), seed);
+    assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches[0]);
+    assert!(outcome.worth > 0.95, "worth {:.3}", outcome.worth);
+}
+
+/// One of the hosts that gather for the others goes silent. Callers whose requests it had hear of it in
+/// time to ask elsewhere, later ones do not notice; and a request is never gathered twice, which could
+/// reach more leafs of a shard than its class allows.
+#[rstest]
+fn a_silent_owner_is_passed_over(#[values(1, 2)] seed: u64) {
+    let plan = Plan { host_trouble: Some((8000, HostTrouble::Silent)), ..grown() };
+    let outcome = town::run(plan, &grown_knobs(), seed);
+    assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches[0]);
+    assert!(outcome.worth > 0.85, "worth {:.3}", outcome.worth);
+    assert!(outcome.longest_refusal < 400, "told after {} ms", outcome.longest_refusal);
+}
+
+/// The process of an owner is killed. Callers whose requests it had are told at once that nobody knows
+/// what came of them; passing them on again would reach more leafs of a shard than their class allows,
+/// since the leafs were already asked.
+#[rstest]
+fn what_a_killed_owner_had_is_not_gathered_again(#[values(1, 2)] seed: u64) {
+    let plan = Plan { host_trouble: Some((8000, HostTrouble::Killed)), rate: 200.0, seconds: 9, ..grown() };
+    let outcome = town::run(plan, &grown_knobs(), seed);
+    assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches[0]);
+    assert!(outcome.refused > 0);
+    assert!(outcome.longest_refusal < 100, "told after {} ms", outcome.longest_refusal);
+}
+
 /// Whatever the trouble, extra arrivals stay inside the bound that all hosts keep together.
 #[rstest]
 #[case::shy(Ill::Shy(0.9))]
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -77,6 +77,8 @@
                 peer: peer(host),
                 // The first three hosts of its data centre.
                 seeds: (0..3).map(|step| peer((host % data_centres + step * data_centres) % count)).collect(),
+                relay: CompactString::default(),
+                power: 0,
             };
             addresses.insert(peer(host), host);
             let core =
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -23,6 +23,8 @@
         slots: connections,
         leaving: false,
         distance: view::Distance::Near,
+        own_share: None,
+        is_peer: false,
     };
     let class = view::Class {
         name: CompactString::const_new("ask"),
@@ -42,6 +44,7 @@
         aim: None,
         shape: view::Shape::Hits,
         servers_most: None,
+        relay: None,
     };
     let stamp = view::Stamp { version: 1, digest: 1 };
     let mut classes = IndexMap::new();
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -16,7 +16,7 @@
 /// One request at `now`; leafs answer at once, or never. The outcomes of whatever ended.
 fn ask(core: &mut traffic::Core, now: clock::Millis, caller: u64, is_up: bool) -> Vec<event::Outcome> {
     let class = CompactString::const_new("ask");
-    let request = event::Request { caller: id::Caller(caller), class, patience: None, key: None };
+    let request = event::Request { caller: id::Caller(caller), class, patience: None, key: None, relayed: None };
     let mut outputs = core.step(now, [event::Input::Request(request)]);
     let mut ended = Vec::new();
     while let Some(output) = outputs.pop() {
@@ -71,7 +71,7 @@
     let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
     core.step(clock::Millis(1), [event::Input::View(one_leaf::view(8))]);
     let class = CompactString::const_new("ask");
-    let request = event::Request { caller: id::Caller(1), class, patience: None, key: None };
+    let request = event::Request { caller: id::Caller(1), class, patience: None, key: None, relayed: None };
     let outputs = core.step(clock::Millis(2), [event::Input::Request(request)]);
     let attempt = outputs.iter().find_map(|output| match output {
         event::Output::Dispatch(dispatch) => Some(dispatch.attempt),
@@ -101,7 +101,7 @@
     for caller in 1..=3 {
         let key = Some(compact_str::format_compact!("letter-{caller}"));
         let class = CompactString::const_new("ask");
-        let request = event::Request { caller: id::Caller(caller), class, patience: None, key };
+        let request = event::Request { caller: id::Caller(caller), class, patience: None, key, relayed: None };
         for output in core.step(clock::Millis(2), [event::Input::Request(request)]) {
             if let event::Output::Answer(answer) = output {
                 codes.push((answer.caller.0, answer.outcome, answer.code, answer.retry_after.is_some()));
--- a/crates/core/tests/town/mod.rs
+++ b/crates/core/tests/town/mod.rs
@@ -21,6 +21,8 @@
 
 /// One way between any two, in ms.
 const HOP: u64 = 1;
+/// Longest time between two steps of a host, in ms.
+const TICK: u64 = 300;
 
 /// What ails a leaf, for a span of time.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,6 +37,15 @@
     Failing(f64),
 }
 
+/// What happens to a host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HostTrouble {
+    /// It neither hears nor says anything any more.
+    Silent,
+    /// Its process is killed: its connections end.
+    Killed,
+}
+
 /// A trouble at one leaf.
 #[derive(Clone, Copy, Debug)]
 pub struct Trouble {
@@ -66,6 +77,10 @@
     pub pause_every: u64,
     /// Data centres, over which hosts and the replicas of each shard are dealt in turn; 1 for no matter.
     pub centres: usize,
+    /// Hosts that gather, the first ones; the others pass requests on to them.
+    pub owners: usize,
+    /// What happens to host 0, and when, in ms.
+    pub host_trouble: Option<(u64, HostTrouble)>,
     pub troubles: Vec<Trouble>,
 }
 
@@ -88,6 +103,8 @@
             pause: 0,
             pause_every: 3000,
             centres: 1,
+            owners: usize::MAX,
+            host_trouble: None,
             troubles: Vec::new(),
         }
     }
@@ -141,11 +158,22 @@
         host: usize,
         dispatch: Box<event::Dispatch>,
     },
+    /// A request that `from` passed on reaches `host`.
+    Pass {
+        host: usize,
+        from: usize,
+        dispatch: Box<event::Dispatch>,
+    },
     Reply {
         host: usize,
         attempt: id::Attempt,
         reply: event::Reply,
     },
+    Kill,
+    /// A host looks at its clock, as nodes do when nothing else happens.
+    Tick {
+        host: usize,
+    },
     /// A timer of the host's core may be due.
     Timer {
         host: usize,
@@ -173,6 +201,14 @@
     /// When the next look at each host's timers is due.
     armed_for: Vec<u64>,
     asked_at: IndexMap<(usize, u64), u64>,
+    /// Requests that were passed on: who passed them on, with which attempt, by host and caller there.
+    passed: IndexMap<(usize, u64), (usize, id::Attempt)>,
+    /// The caller's first host and number, by host and number where the request is gathered.
+    origin: IndexMap<(usize, u64), (usize, u64)>,
+    /// Shards in the answer to an attempt that was passed on.
+    shares: IndexMap<(usize, id::Attempt), usize>,
+    /// Leafs that a caller's request reached, by shard.
+    reached: IndexMap<((usize, u64), usize), Vec<usize>>,
     next_caller: u64,
     first: u64,
     arrivals: u64,
@@ -234,6 +270,10 @@
             sequence: 0,
             armed_for: vec![u64::MAX; plan.hosts],
             asked_at: IndexMap::new(),
+            passed: IndexMap::new(),
+            origin: IndexMap::new(),
+            shares: IndexMap::new(),
+            reached: IndexMap::new(),
             next_caller: 0,
             first: 0,
             arrivals: 0,
@@ -241,8 +281,12 @@
             outcome: Outcome::default(),
             plan,
         };
+        if let Some((at, HostTrouble::Killed)) = town.plan.host_trouble {
+            town.at(at, Happening::Kill);
+        }
         for host in 0..town.plan.hosts {
             town.after_next_ask(host);
+            town.at(TICK, Happening::Tick { host });
         }
         town
     }
@@ -272,8 +316,14 @@
             match happening {
                 Happening::Ask { host } if at <= end => self.ask(host),
                 Happening::Ask { .. } => {}
+                Happening::Pass { host, from, dispatch } => self.pass(host, from, &dispatch),
                 Happening::Arrive { host, dispatch } => self.arrive(host, &dispatch),
                 Happening::Reply { host, attempt, reply } => self.step(host, event::Input::Reply { attempt, reply }),
+                Happening::Kill => self.kill(),
+                Happening::Tick { host } => {
+                    self.step(host, event::Input::Tick);
+                    self.at(self.now + TICK, Happening::Tick { host });
+                }
                 Happening::Timer { host } => {
                     if self.armed_for[host] == self.now {
                         self.armed_for[host] = u64::MAX;
@@ -301,6 +351,43 @@
             class: CompactString::const_new("sweep"),
             patience: Some(clock::Millis(self.plan.deadline)),
             key: None,
+            relayed: None,
+        };
+        self.step(host, event::Input::Request(request));
+    }
+
+    fn is_gone(&self, host: usize) -> Option<HostTrouble> {
+        let (from, trouble) = self.plan.host_trouble?;
+        (host == 0 && self.now >= from).then_some(trouble)
+    }
+
+    /// Host 0 is killed: whoever passed a request on to it sees the connection end.
+    fn kill(&mut self) {
+        let passed: Vec<_> = self.passed.iter().filter(|((host, _), _)| *host == 0).map(|(_, by)| *by).collect();
+        for (from, attempt) in passed {
+            self.reply(from, attempt, 0, event::Reply::Lost);
+        }
+    }
+
+    fn pass(&mut self, host: usize, from: usize, dispatch: &event::Dispatch) {
+        match self.is_gone(host) {
+            None => {}
+            Some(HostTrouble::Silent) => return,
+            Some(HostTrouble::Killed) => {
+                self.reply(from, dispatch.attempt, 0, event::Reply::NotSent);
+                return;
+            }
+        }
+        self.next_caller += 1;
+        let caller = self.next_caller;
+        self.passed.insert((host, caller), (from, dispatch.attempt));
+        self.origin.insert((host, caller), (from, dispatch.caller.0));
+        let request = event::Request {
+            caller: id::Caller(caller),
+            class: CompactString::const_new("sweep"),
+            patience: Some(dispatch.deadline - clock::Millis(self.now)),
+            key: None,
+            relayed: dispatch.relayed,
         };
         self.step(host, event::Input::Request(request));
     }
@@ -314,6 +401,10 @@
         let outputs = self.hosts[host].step(now, [input]);
         for output in outputs {
             match output {
+                event::Output::Dispatch(dispatch) if dispatch.relayed.is_some() => {
+                    let peer = dispatch.server.index() - self.leafs.len();
+                    self.at(self.now + HOP, Happening::Pass { host: peer, from: host, dispatch: Box::new(dispatch) });
+                }
                 event::Output::Dispatch(dispatch) => {
                     self.at(self.now + HOP, Happening::Arrive { host, dispatch: Box::new(dispatch) });
                 }
@@ -336,9 +427,25 @@
         self.plan.troubles.iter().find(is_on).map(|trouble| trouble.ill)
     }
 
+    /// A request may reach two leafs of a shard at most, over all hosts that handle it.
+    fn note_reached(&mut self, host: usize, caller: u64, leaf: usize) {
+        let origin = self.origin.get(&(host, caller)).copied().unwrap_or((host, caller));
+        let reached = self.reached.entry((origin, leaf / self.plan.replicas)).or_default();
+        if !reached.contains(&leaf) {
+            reached.push(leaf);
+        }
+        if reached.len() > 2 {
+            self.outcome.breaches.push(format!("{origin:?} reached {reached:?}"));
+        }
+    }
+
     fn arrive(&mut self, host: usize, dispatch: &event::Dispatch) {
+        if self.is_gone(host).is_some() {
+            return;
+        }
         let attempt = dispatch.attempt;
         let leaf = dispatch.server.index();
+        self.note_reached(host, dispatch.caller.0, leaf);
         if self.is_counted(self.now) {
             self.arrivals += 1;
             let is_far = host % self.plan.centres != leaf % self.plan.replicas % self.plan.centres;
@@ -397,6 +504,21 @@
     }
 
     fn on_answer(&mut self, host: usize, answer: &event::Answer) {
+        if self.is_gone(host).is_some() {
+            return;
+        }
+        if let Some((from, attempt)) = self.passed.swap_remove(&(host, answer.caller.0)) {
+            let snapshot = view::Snapshot { epoch: 0, version: 0 };
+            let part = event::Part { snapshot, held: None, hits: answer.contributed.len() as u32, load: None };
+            let reply = match answer.outcome {
+                event::Outcome::Answered => event::Reply::Answered(part),
+                event::Outcome::NotRun => event::Reply::Refused { retry_after: answer.retry_after },
+                event::Outcome::Unknown => event::Reply::Failed,
+            };
+            self.shares.insert((from, attempt), answer.contributed.len());
+            self.reply(from, attempt, 0, reply);
+            return;
+        }
         let Some(asked) = self.asked_at.swap_remove(&(host, answer.caller.0)) else {
             self.outcome.breaches.push("answered twice".to_owned());
             return;
@@ -412,7 +534,9 @@
         }
         self.outcome.answered += 1;
         self.outcome.latencies.push(took);
-        let share = answer.contributed.len() as f64 / self.plan.shards as f64;
+        let passed = answer.contributed.first().and_then(|(_, attempt)| self.shares.get(&(host, *attempt)));
+        let contributed = passed.copied().unwrap_or(answer.contributed.len());
+        let share = contributed as f64 / self.plan.shards as f64;
         let is_in_aim = took <= self.plan.aim;
         self.outcome.in_aim += u64::from(is_in_aim);
         self.outcome.worth += share * share * if is_in_aim { 1.0 } else { 0.1 };
@@ -438,10 +562,31 @@
                 slots: plan.slots as u32,
                 leaving: false,
                 distance: if is_near { view::Distance::Near } else { view::Distance::Far },
+                own_share: None,
+                is_peer: false,
             }));
         }
         targets.push(view::Target { service: registry.intern_service(&name), shard: name, replicas });
     }
+    let is_owner = host < plan.owners;
+    let peers = if is_owner { 0 } else { plan.owners };
+    let mut relays = Vec::new();
+    for peer in 0..peers {
+        let name = format_compact!("host-{peer}");
+        relays.push(registry.intern(&name));
+        servers.push(Some(view::Server {
+            address: name.clone(),
+            name,
+            incarnation: 0,
+            connections: 64,
+            slots: 64,
+            leaving: false,
+            distance: view::Distance::Near,
+            own_share: Some(64),
+            is_peer: true,
+        }));
+    }
+    let peer = view::Target { shard: CompactString::const_new("peer"), service: id::Service::PEERS, replicas: relays };
     let class = view::Class {
         name: CompactString::const_new("sweep"),
         service: CompactString::const_new("s0"),
@@ -450,6 +595,7 @@
         aim: Some(clock::Millis(plan.aim)),
         shape: view::Shape::Records { top: 10 },
         servers_most: Some(2),
+        relay: (!is_owner).then_some(peer),
         settle: None,
         least_coverage: ratio::Ratio::try_from(plan.least_coverage).unwrap_or_default(),
         enough_hits: None,
@@ -458,8 +604,22 @@
         priority: 1,
         branches: vec![view::Branch { weight: 1.0, targets }],
     };
+    // Where only some hosts gather, they share the bounds among them.
+    let mut parts = IndexMap::new();
+    if plan.owners < plan.hosts {
+        let part = if is_owner { 1.0 / plan.owners as f64 } else { 0.0 };
+        parts.extend((0..plan.shards as u32).map(|service| (id::Service(service), part)));
+    }
     let stamp = view::Stamp { version: 1, digest: 1 };
     let mut classes = IndexMap::new();
     classes.insert(class.name.clone(), class);
-    view::View { stamp, hosts_revision: stamp, hosts: plan.hosts as u32, classes, servers, ..view::View::default() }
+    view::View {
+        stamp,
+        hosts_revision: stamp,
+        hosts: plan.hosts as u32,
+        classes,
+        servers,
+        parts,
+        ..view::View::default()
+    }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -63,6 +63,8 @@
             data_centre: settings.data_centre.clone(),
             peer: format_compact!("{}", shared.peer),
             seeds: settings.seeds.iter().map(|seed| format_compact!("{seed}")).collect(),
+            relay: settings.relay.map(|relay| format_compact!("{relay}")).unwrap_or_default(),
+            power: (settings.processor * 1000.0) as u32,
         };
         let seed = catalog::Digest::of(&settings.name).0 ^ shared.origin.start();
         let now = shared.origin.now();
@@ -116,6 +118,7 @@
         match word {
             shared::ToControl::Input(input) => inputs.push(input),
             shared::ToControl::Revalidate => inputs.push(control::Input::Revalidate),
+            shared::ToControl::Leaving => inputs.push(control::Input::Leaving),
             shared::ToControl::Peer(bytes) => {
                 self.shared.metrics.peer_bytes.with_label_values(&["received"]).inc_by(bytes.len() as u64);
                 match wire::peer::decode(&bytes) {
--- a/crates/node/src/lane/accept.rs
+++ b/crates/node/src/lane/accept.rs
@@ -4,8 +4,8 @@
 //! the listener's backlog, where they are reset when the process ends; a draining node must keep
 //! accepting until the balancer has noticed, then take what is in the backlog, and only then close.
 //!
-//! There are up to three listeners. Callers have one; where every path of it is a request to be
-//! handed on, the node's own pages and its readiness have others.
+//! There are up to four listeners. Callers have one; where every path of it is a request to be handed
+//! on, the node's own pages and its readiness have others. Other hosts pass requests on to one more.
 
 use std::{net, rc::Rc, time as std_time};
 
@@ -38,6 +38,8 @@
     pub ready: Option<net::TcpListener>,
     /// For operators; likewise.
     pub admin: Option<net::TcpListener>,
+    /// For requests of other hosts; `None` if the node takes none.
+    pub relay: Option<net::TcpListener>,
 }
 
 /// Accepts and serves connections until the node closes.
@@ -49,17 +51,20 @@
     if let Some(listener) = listeners.admin {
         task::spawn_local(serve_pages(Rc::clone(&shell), listener));
     }
+    if let Some(listener) = listeners.relay {
+        task::spawn_local(serve_requests(Rc::clone(&shell), listener, ingress::Side::Hosts));
+    }
     if shell.shared.interface.callers.is_exclusive() {
-        serve_callers(shell, listeners.callers).await;
+        serve_requests(shell, listeners.callers, ingress::Side::Callers).await;
         return;
     }
     serve_pages(shell, listeners.callers).await;
 }
 
-/// Every path is a request of a caller.
-async fn serve_callers(shell: Rc<Shell>, listener: net::TcpListener) {
+/// Every path is a request.
+async fn serve_requests(shell: Rc<Shell>, listener: net::TcpListener, side: ingress::Side) {
     let mut head_wait = head_wait(&shell);
-    let mut service = Rc::new(callers(&shell, head_wait).await);
+    let mut service = Rc::new(requests(&shell, side, head_wait).await);
     let Some(listener) = open(listener) else {
         return;
     };
@@ -67,15 +72,16 @@
         let wanted = self::head_wait(&shell);
         if wanted != head_wait {
             head_wait = wanted;
-            service = Rc::new(callers(&shell, head_wait).await);
+            service = Rc::new(requests(&shell, side, head_wait).await);
         }
         spawn(Rc::clone(&service), stream, address);
     }
 }
 
-/// The library's service for callers; it reads the time for a head only when it is made.
-async fn callers(
+/// The library's service for requests; it reads the time for a head only when it is made.
+async fn requests(
     shell: &Rc<Shell>,
+    side: ingress::Side,
     head_wait: std_time::Duration,
 ) -> impl Service<(xitca_io::net::TcpStream, net::SocketAddr)> + use<> {
     let config = HttpServiceConfig::new()
@@ -87,7 +93,7 @@
         .max_write_buf_size::<ANSWER_BYTES>();
     let builder = HttpServiceBuilder::h1().config(config).with_tls(link::Linker(Rc::clone(shell)));
     let shell = Rc::clone(shell);
-    let handler = fn_service(async move |request| ingress::handle(&shell, request).await);
+    let handler = fn_service(async move |request| ingress::handle(&shell, side, request).await);
     let made = handler.enclosed(builder).call(()).await;
     made.unwrap_or_else(|_| unreachable!("neither the handler nor the linker can fail to be made"))
 }
--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use shallothub_core::{clock, invariant, traffic::event};
-use shallothub_wire::seam;
+use shallothub_wire::{relay, seam};
 use tokio::{net, task, time::timeout};
 
 use super::{Shell, pool};
@@ -51,9 +51,10 @@
             return ended(event::Reply::NotSent);
         };
         let left = dispatch.deadline.since(shell.now());
-        let message = match unsent.take() {
-            Some(message) => Some(message),
-            None => leafs.request(dispatch, &name, request, left),
+        let message = match (unsent.take(), dispatch.relayed) {
+            (Some(message), _) => Some(message),
+            (None, Some(relayed)) => Some(relay::request(request, &settings.name, relayed, left)),
+            (None, None) => leafs.request(dispatch, &name, request, left),
         };
         let Some(message) = message else {
             return ended(event::Reply::NotSent);
@@ -110,7 +111,10 @@
     let Ok(body) = Limited::new(body, limit).collect().await else {
         return seam::Reply::lost();
     };
-    let reply = shell.shared.interface.leafs.reply(dispatch, name, request, &head, body.to_bytes());
+    let reply = match dispatch.relayed {
+        Some(_) => relay::reply(&head, body.to_bytes()),
+        None => shell.shared.interface.leafs.reply(dispatch, name, request, &head, body.to_bytes()),
+    };
     if reply.is_own {
         give_back(shell, dispatch, connection, reply.idle).await;
     }
--- a/crates/node/src/lane/ingress.rs
+++ b/crates/node/src/lane/ingress.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::format_compact;
 use shallothub_core::{clock, id, traffic::event};
-use shallothub_wire::seam;
+use shallothub_wire::{relay, seam};
 use tokio::time::timeout;
 use xitca_http::http::RequestExt;
 use xitca_web::{
@@ -16,19 +16,31 @@
 use super::{Shell, link};
 use crate::{shared, time};
 
+/// How long another host should not ask this one after it said that it leaves; by then it is gone.
+const LEFT: clock::Millis = clock::Millis(5000);
 /// Bytes of a head besides its headers' names and values, for each header: colon, space, line end.
 const HEADER_FRAME: usize = 4;
 
-/// Serves a request on a connection where every path is a caller's request.
+/// Who sends requests on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Side {
+    /// Callers.
+    Callers,
+    /// Other hosts, which pass callers' requests on.
+    Hosts,
+}
+
+/// Serves a request on a connection where every path is a request.
 pub(super) async fn handle(
     shell: &Rc<Shell>,
+    side: Side,
     request: Request<RequestExt<RequestBody>>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let (head, ext) = request.into_parts();
     let (ext, body) = ext.replace_body(());
     let link = shell.link(*ext.socket_addr());
     let incoming = Incoming { method: head.method, target: head.uri, headers: head.headers, body };
-    let response = serve(shell, incoming, link.as_ref(), Some(*ext.socket_addr())).await;
+    let response = serve(shell, side, incoming, link.as_ref(), Some(*ext.socket_addr())).await;
     if let Some(link) = link {
         link.end();
     }
@@ -46,14 +58,19 @@
 /// Serves a request. Where there is a `link`, a caller that hangs up is noticed.
 pub(super) async fn serve(
     shell: &Rc<Shell>,
-    incoming: Incoming,
+    side: Side,
+    mut incoming: Incoming,
     link: Option<&link::Link>,
     from: Option<net::SocketAddr>,
 ) -> Response<ResponseBody> {
     let _guard = shell.shared.enter_request();
     let started = std_time::Instant::now();
+    let order = if side == Side::Hosts { relay::take_order(&mut incoming.headers) } else { None };
+    if side == Side::Hosts && shell.shared.phase() >= shared::Phase::Draining {
+        return leave(shell);
+    }
     let (request, patience) = match receive(shell, incoming).await {
-        Ok(request) => request,
+        Ok((request, patience)) => (request, order.as_ref().map_or(patience, |order| order.patience)),
         Err(refusal) => {
             tracing::info!(code = refusal.code, detail = %refusal.message, from = ?from, "turned a request away");
             shell.shared.metrics.refused(refusal.code);
@@ -63,7 +80,7 @@
     let spent = started.elapsed().as_millis() as u64;
     let patience = patience.map(|patience| patience - clock::Millis(spent));
     let name = request.ask.name.clone();
-    let (caller, receiver) = shell.request(request, patience);
+    let (caller, receiver) = shell.request(request, patience, order.as_ref().map(|order| order.relayed));
     let mut hang_up = HangUp { shell: Rc::clone(shell), caller: Some(caller) };
     let answer = tokio::select! {
         biased;
@@ -77,8 +94,22 @@
         return close(respond(shell, Response::new(Bytes::new())));
     };
     hang_up.caller = None;
-    report(shell, &name, &answer, started);
-    respond(shell, shell.shared.interface.callers.answer(answer))
+    let from = order.as_ref().map(|order| order.from.as_str());
+    report(shell, &name, from, &answer, started);
+    let (outcome, retry_after) = (answer.core.outcome, answer.core.retry_after);
+    let mut response = respond(shell, shell.shared.interface.callers.answer(answer));
+    if side == Side::Hosts {
+        relay::mark(response.headers_mut(), outcome, retry_after);
+    }
+    response
+}
+
+/// Tells another host to ask someone else: this one leaves, and will not be asked again.
+fn leave(shell: &Shell) -> Response<ResponseBody> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    relay::mark(response.headers_mut(), event::Outcome::NotRun, Some(LEFT));
+    close(respond(shell, response))
 }
 
 async fn gone(link: Option<&link::Link>) {
@@ -226,7 +257,7 @@
 }
 
 /// One line and the counters for an answer.
-fn report(shell: &Shell, request: &str, answer: &seam::Answer, started: std_time::Instant) {
+fn report(shell: &Shell, request: &str, from: Option<&str>, answer: &seam::Answer, started: std_time::Instant) {
     let core = &answer.core;
     let shards = core.contributed.len() + core.missing.len();
     // The name of an unknown class comes from the caller; as a label it would grow without bound.
@@ -242,6 +273,8 @@
         outcome = %core.outcome,
         code = %core.code,
         took_ms = took as u64,
+        from,
+        via = core.via.as_deref(),
         shards,
         missing = %missing,
         first = core.cost.first,
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -163,6 +163,7 @@
         self: &Rc<Self>,
         request: seam::Request,
         patience: Option<clock::Millis>,
+        relayed: Option<traffic::event::Relayed>,
     ) -> (id::Caller, oneshot::Receiver<seam::Answer>) {
         let (reply, receiver) = oneshot::channel();
         let class = self.class(&request.ask.to);
@@ -174,7 +175,7 @@
             state.callers.insert(caller, Caller { request: Rc::new(request), reply });
             caller
         };
-        let request = traffic::event::Request { caller, class, patience, key };
+        let request = traffic::event::Request { caller, class, patience, key, relayed };
         self.step([traffic::event::Input::Request(request)]);
         (caller, receiver)
     }
--- a/crates/node/src/lane/pages.rs
+++ b/crates/node/src/lane/pages.rs
@@ -65,7 +65,7 @@
         headers: request.headers().clone(),
         body: std::mem::take(&mut *ctx.body_borrow_mut()),
     };
-    Ok(ingress::serve(&shell, incoming, None, None).await)
+    Ok(ingress::serve(&shell, ingress::Side::Callers, incoming, None, None).await)
 }
 
 fn refusal(shell: &Shell, status: StatusCode, code: &'static str, message: &str) -> WebResponse {
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -69,6 +69,7 @@
     /// Turns the balancer away; callers that still come are served.
     pub fn drain(self) -> Node<Draining> {
         tracing::info!(host = %self.shared.settings.name, "draining");
+        self.shared.control.send(shared::ToControl::Leaving).ok();
         self.enter(shared::Phase::Draining)
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -50,7 +50,15 @@
     let address = settings.listen;
     let listener = bind(address)?;
     let ready = settings.ready.map(bind).transpose()?;
-    let admin = settings.admin.map(bind).transpose()?;
+    let relay = settings.relay.map(bind).transpose()?;
+    let admin = settings.admin.and_then(|address| match bind(address) {
+        Ok(listener) => Some(listener),
+        // Without its pages the node still serves callers.
+        Err(error) => {
+            tracing::warn!(detail = %error, "metrics and status are not served");
+            None
+        }
+    });
     let (control, control_words) = mpsc::unbounded_channel();
     let mut lanes = Vec::new();
     let mut lane_words = Vec::new();
@@ -65,11 +73,11 @@
     let shared = Arc::new(shared);
     report_start(&shared);
     control::start(Arc::clone(&shared), control_words, peers)?;
-    let mut pages = (ready, admin);
+    let (mut ready, mut admin, mut relay) = (ready, admin, relay);
     for (index, words) in lane_words.into_iter().enumerate() {
         let callers = listener.try_clone().context(error::ListenSnafu { address })?;
         // The first lane serves the pages for the whole node.
-        let listeners = lane::Listeners { callers, ready: pages.0.take(), admin: pages.1.take() };
+        let listeners = lane::Listeners { callers, ready: ready.take(), admin: admin.take(), relay: relay.take() };
         lane::start(Arc::clone(&shared), index, listeners, words)?;
     }
     Ok(shared)
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -67,6 +67,8 @@
     Input(control::Input),
     /// A lane woke from a pause.
     Revalidate,
+    /// The node is asked to stop.
+    Leaving,
     /// Why servers are reached by a selector or not.
     Explain(CompactString, oneshot::Sender<Option<Vec<(CompactString, plan::Reason)>>>),
 }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -38,6 +38,13 @@
     /// `IP:PORT` for metrics, status and explanations, if not at `listen`.
     #[serde(default)]
     pub admin: Option<net::SocketAddr>,
+    /// `IP:PORT` at which it takes requests of other hosts, to gather for them. Default none.
+    #[serde(default)]
+    pub relay: Option<net::SocketAddr>,
+    /// Processor that it may use, in cores. A host with much less than others passes gathers on to
+    /// them. Default 1.
+    #[serde(default = "whole")]
+    pub processor: f64,
     /// `IP:PORT` for the other hosts.
     pub peer: net::SocketAddr,
     /// `IP:PORT` of the platform's configuration service.
@@ -76,6 +83,10 @@
     pub control: control::Policy,
 }
 
+fn whole() -> f64 {
+    1.0
+}
+
 fn one() -> u32 {
     1
 }
@@ -133,11 +144,14 @@
     if settings.interface == Interface::Platform && settings.ready.is_none() {
         fault("`ready` is missing", "write the address at which the platform asks whether the node is ready");
     }
-    let others = [Some(settings.peer), settings.ready, settings.admin];
+    if settings.processor.is_nan() || settings.processor <= 0.0 {
+        fault("`processor` is not above 0", "write the cores that the node may use, such as 0.25");
+    }
+    let others = [Some(settings.peer), settings.ready, settings.admin, settings.relay];
     for (place, address) in others.iter().enumerate().filter_map(|(place, address)| Some((place, (*address)?))) {
         let is_taken = address == settings.listen || others[..place].contains(&Some(address));
         if is_taken && address.port() != 0 && address != settings.peer {
-            fault("`ready` or `admin` is an address that is taken", "give each a port of its own");
+            fault("`ready`, `admin` or `relay` is an address that is taken", "give each a port of its own");
         }
     }
     if settings.name.is_empty() || settings.data_centre.is_empty() {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod own;
 pub mod peer;
 pub mod platform;
+pub mod relay;
 pub mod seam;
