Find members by replies, and tell changes of the registry once

Members were taken for silent by absence of news, which in a large fleet is the usual case; pushes then missed them. A leaf whose lease lapsed was dropped after 1.5 s by hosts that do not watch (found by registry.rs). Ruled out: fewer digests (they are what repairs); longer silence (a dead host would be asked for longer). Change: only what matters of an entry is compared; the same content has one version everywhere; a difference fits any state between its two versions, checked by digest; what was told is asked for after half a second only. Members are silent when two digests in a row are not replied to, and say so if they are not. Many missing entries at once are held for longer.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -93,7 +93,7 @@
         digest: catalog::Digest::of(text),
         text: Some(Arc::from(text.as_str())),
     });
-    let update = message::Update { kind, base: None, version, removed: Vec::new(), parts: parts.collect() };
+    let update = message::Update { kind, base: None, version, digest: 0, removed: Vec::new(), parts: parts.collect() };
     message::Message { protocol: message::PROTOCOL, from: mesh::peer(1), body: message::Body::Catalog(update) }
 }
 
@@ -184,8 +184,14 @@
         let part =
             message::Part { key: key.clone(), digest: catalog::Digest::of(text), text: Some(Arc::from(text.as_str())) };
         let base = Some(core.stamp(catalog::Kind::Hosts));
-        let update =
-            message::Update { kind: catalog::Kind::Hosts, base, version, removed: Vec::new(), parts: vec![part] };
+        let update = message::Update {
+            kind: catalog::Kind::Hosts,
+            base,
+            version,
+            digest: 0,
+            removed: Vec::new(),
+            parts: vec![part],
+        };
         let message =
             message::Message { protocol: message::PROTOCOL, from: mesh::peer(1), body: message::Body::Catalog(update) };
         bytes = peer::encode(&message).expect("encoded").len();
@@ -204,6 +210,7 @@
             sent: Some(clock::Millis(123_456_789)),
             echo: None,
             members: Vec::new(),
+            known: 0,
         }),
     };
     points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
@@ -455,6 +462,7 @@
                     kind: catalog::Kind::Hosts,
                     base,
                     version,
+                    digest: 0,
                     removed: Vec::new(),
                     parts: vec![part],
                 };
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -6,14 +6,46 @@
 
 use std::{fmt, ops, str};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 use snafu::Snafu;
 
 /// An instant or a span, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
+impl<'de> Deserialize<'de> for Millis {
+    /// Reads a number; a fraction, such as another program writes for a whole one, is rounded.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(Visitor)
+    }
+}
+
+struct Visitor;
+
+impl de::Visitor<'_> for Visitor {
+    type Value = Millis;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a number of milliseconds, 0 or more")
+    }
+
+    fn visit_u64<E: de::Error>(self, value: u64) -> Result<Millis, E> {
+        Ok(Millis(value))
+    }
+
+    fn visit_i64<E: de::Error>(self, value: i64) -> Result<Millis, E> {
+        u64::try_from(value).map(Millis).map_err(|_| E::invalid_value(de::Unexpected::Signed(value), &self))
+    }
+
+    fn visit_f64<E: de::Error>(self, value: f64) -> Result<Millis, E> {
+        if value.is_finite() && value >= 0.0 {
+            return Ok(Millis(value.round() as u64));
+        }
+        Err(E::invalid_value(de::Unexpected::Float(value), &self))
+    }
+}
+
 impl Millis {
     /// The origin, or an empty span.
     pub const ZERO: Self = Self(0);
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -7,6 +7,13 @@
 
 use super::{Core, Output, Source, member, message, note};
 
+/// Time for a push to arrive, in ms, before what a digest told is asked for: a few hops and the pause
+/// between two reads of the registry.
+const PUSH_WAIT: clock::Millis = clock::Millis(500);
+/// Part of the exchanges in which a seed is asked too.
+const SEED_PART: f64 = 0.1;
+/// Hosts told at once that this one leaves; the others hear of it from them.
+const TOLD_OF_LEAVING: usize = 4;
 /// Shortest pause between two exchanges of digests.
 const GOSSIP_LEAST: clock::Millis = clock::Millis(50);
 
@@ -17,10 +24,11 @@
         self.outputs.push(Output::Send { to, message });
     }
 
-    fn digest(&mut self, sent: Option<clock::Millis>, echo: Option<clock::Millis>) -> message::Body {
-        let members = self.named_members();
+    fn digest(&mut self, known: usize, sent: Option<clock::Millis>, echo: Option<clock::Millis>) -> message::Body {
+        let members = self.named_members(known);
         message::Body::Digest(message::Digest {
             members,
+            known: self.members.count() as u32,
             stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
             ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
             sent,
@@ -28,28 +36,30 @@
         })
     }
 
-    /// This host and some that it heard of.
-    fn named_members(&mut self) -> Vec<message::Member> {
+    /// This host and some that it knows, for a host that knows `known` hosts.
+    fn named_members(&mut self, known: usize) -> Vec<message::Member> {
         if matches!(self.reader.source, Source::Documents) {
             return Vec::new();
         }
-        let mut members = self.members.sample(self.now, &mut self.random);
+        let mut members = self.members.named(known, &mut self.random);
+        let state = if self.is_leaving { message::State::Leaving } else { message::State::Alive };
         members.push(message::Member {
             peer: self.identity.peer.clone(),
             name: self.identity.name.clone(),
             data_centre: self.identity.data_centre.clone(),
-            age: clock::Millis::ZERO,
             relay: self.identity.relay.clone(),
             power: self.identity.power,
-            leaving: self.is_leaving,
+            turn: self.turn,
+            state,
         });
         members
     }
 
-    fn hear_of(&mut self, members: &[message::Member]) {
-        let mut has_news = false;
+    fn hear_of(&mut self, from: &CompactString, members: &[message::Member]) {
+        let mut has_news = self.members.hear_from(self.now, from) != member::News::None;
         for member in members {
             if member.peer == self.identity.peer {
+                self.contradict(member);
                 continue;
             }
             let news = self.members.hear(self.now, member);
@@ -66,18 +76,41 @@
         }
     }
 
-    /// Members that fell silent are no longer asked, and after long no longer count.
+    /// Others say of this host what is not so: a later turn makes its own word the one that holds.
+    fn contradict(&mut self, member: &message::Member) {
+        let is_wrong =
+            member.state == message::State::Silent || member.state > message::State::Alive && !self.is_leaving;
+        if member.turn > self.turn || member.turn == self.turn && is_wrong {
+            self.turn = member.turn + 1;
+        }
+    }
+
+    /// Counts members that did not reply, asks doubtful ones again, and forgets those long gone.
     fn review_members(&mut self) {
+        let (silent, doubtful) = self.members.review(self.now, self.policy.gossip);
+        let has_news = !silent.is_empty();
+        if has_news {
+            self.outputs.push(Output::Note(note::Note::Silent { names: silent }));
+        }
+        for peer in doubtful {
+            self.send_digest(peer);
+        }
         let is_forgotten = self.members.forget(self.now, self.policy.member_forget);
         if is_forgotten {
             let known = self.members.count();
             self.outputs.push(Output::Note(note::Note::Forgotten { known }));
         }
-        let relays = self.members.relays(self.now, self.policy.member_quiet);
-        if is_forgotten || relays != self.relays {
+        if has_news || is_forgotten {
             self.compile();
+            self.refresh_peers();
         }
-        self.refresh_peers();
+    }
+
+    fn send_digest(&mut self, to: CompactString) {
+        self.members.ask(self.now, &to);
+        let known = self.members.count();
+        let body = self.digest(known, Some(self.now), None);
+        self.say(to, body);
     }
 
     /// Compares digests with a few random hosts when it is time.
@@ -95,31 +128,49 @@
     }
 
     fn probe(&mut self) {
-        let mut known: Vec<CompactString> = self.peers.keys().cloned().collect();
-        // Where nobody lists the hosts, two halves that lost each other for long find together again
-        // only by what the settings name.
-        let needs_seeds = known.is_empty() || matches!(self.reader.source, Source::Registry { .. });
-        if needs_seeds {
-            for seed in &self.identity.seeds {
-                if *seed != self.identity.peer && !known.contains(seed) {
-                    known.push(seed.clone());
-                }
-            }
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.probe_members(self.policy.gossip_peers as usize);
+            return;
         }
+        let known: Vec<CompactString> = if self.peers.is_empty() {
+            self.identity.seeds.iter().filter(|seed| **seed != self.identity.peer).cloned().collect()
+        } else {
+            self.peers.keys().cloned().collect()
+        };
         let count = (self.policy.gossip_peers as usize).min(known.len());
         let first = if known.is_empty() { 0 } else { self.random.random_range(0..known.len()) };
         for step in 0..count {
             let stride = 1 + known.len() / self.policy.gossip_peers.max(1) as usize;
-            let to = known[(first + step * stride) % known.len()].clone();
-            let body = self.digest(Some(self.now), None);
-            self.say(to, body);
+            self.send_digest(known[(first + step * stride) % known.len()].clone());
+        }
+    }
+
+    /// Sends digests to `count` random members. A seed is added while few are known, and now and then
+    /// later: two halves that lost each other for long find together again only by what the settings
+    /// name.
+    fn probe_members(&mut self, count: usize) {
+        let mut to = self.members.pick(count, &mut self.random);
+        let seeds: Vec<CompactString> =
+            self.identity.seeds.iter().filter(|seed| **seed != self.identity.peer).cloned().collect();
+        let wants_seed = self.members.count() <= self.identity.seeds.len() || self.random.random_bool(SEED_PART);
+        if wants_seed && !seeds.is_empty() {
+            let place = self.random.random_range(0..seeds.len());
+            to.push(seeds[place].clone());
+        }
+        to.sort_unstable();
+        to.dedup();
+        for peer in to {
+            self.send_digest(peer);
         }
     }
 
     /// Tells some hosts at once that this one leaves, so that they pass nothing more on to it.
     pub(super) fn on_leaving(&mut self) {
         self.is_leaving = true;
-        self.probe();
+        self.turn += 1;
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.probe_members(TOLD_OF_LEAVING);
+        }
     }
 
     pub(super) fn on_revalidate(&mut self) {
@@ -144,17 +195,16 @@
     }
 
     fn on_digest(&mut self, from: CompactString, digest: &message::Digest) {
-        self.hear_of(&digest.members);
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.hear_of(&from, &digest.members);
+        }
         for kind in catalog::Kind::ALL {
-            let shelf = &self.shelves[kind.index()];
-            let theirs = digest.stamps[kind.index()];
-            let is_news = theirs > shelf.stamp && shelf.refused != Some(theirs);
-            if is_news {
+            if self.must_ask(kind, digest.stamps[kind.index()]) {
                 self.ask(from.clone(), kind);
             }
         }
         if digest.sent.is_some() {
-            let body = self.digest(None, digest.sent);
+            let body = self.digest(digest.known as usize, None, digest.sent);
             self.say(from, body);
         }
         if let Some(echo) = digest.echo {
@@ -162,6 +212,25 @@
         }
     }
 
+    /// Whether to ask for a newer catalog that another host has. Most are pushed and are on their way;
+    /// only what did not come for a while is asked for.
+    fn must_ask(&mut self, kind: catalog::Kind, theirs: view::Stamp) -> bool {
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        let shelf = &mut self.shelves[kind.index()];
+        if theirs <= shelf.stamp || shelf.refused == Some(theirs) {
+            return false;
+        }
+        if shelf.stamp.version == 0 || !is_registry {
+            return true;
+        }
+        let (_, since) = *shelf.newer.get_or_insert((theirs, self.now));
+        let is_late = self.now.since(since) >= PUSH_WAIT;
+        if is_late {
+            shelf.newer = None;
+        }
+        is_late
+    }
+
     /// A reply to this host's own digest: what the peer has was confirmed `age` before `echo`.
     fn on_echo(&mut self, digest: &message::Digest, echo: clock::Millis) {
         for kind in catalog::Kind::ALL {
@@ -209,7 +278,8 @@
             parts.push(message::Part { key: key.clone(), digest: *digest, text });
         }
         let version = shelf.current.manifest.version;
-        let update = message::Update { kind: ask.kind, base: None, version, removed: Vec::new(), parts };
+        let digest = shelf.stamp.digest;
+        let update = message::Update { kind: ask.kind, base: None, version, digest, removed: Vec::new(), parts };
         self.say(from, message::Body::Catalog(update));
     }
 
@@ -221,9 +291,12 @@
         }
         let mut manifest = match update.base {
             None => catalog::Manifest { version: update.version, ..Default::default() },
-            Some(base) if base == shelf.stamp => shelf.current.manifest.clone(),
+            Some(base) if can_build_on(base, &update, shelf.stamp) => shelf.current.manifest.clone(),
             Some(_) => {
-                self.ask(from, kind);
+                let theirs = view::Stamp { version: update.version, digest: update.digest };
+                if self.must_ask(kind, theirs) {
+                    self.ask(from, kind);
+                }
                 return;
             }
         };
@@ -246,6 +319,11 @@
         if is_older || shelf.refused == Some(stamp) {
             return;
         }
+        let is_other = update.digest != 0 && update.digest != stamp.digest;
+        if is_other {
+            self.ask(from, kind);
+            return;
+        }
         shelf.current.texts.extend(texts);
         if !shelf.current.lacks(&manifest).is_empty() {
             self.ask(from, kind);
@@ -277,9 +355,9 @@
         let skipped = first.max(self.policy.watchers as usize);
         let end = first + fanout;
         let mut names: Vec<CompactString> = self.ranked.iter().take(end).skip(skipped).cloned().collect();
+        // A registry is watched in every data centre, and digests cross between them.
         let is_registry = matches!(self.reader.source, Source::Registry { .. });
-        let all_watch = is_registry && self.policy.watchers as usize >= self.ranked.len();
-        if place == 0 && !all_watch {
+        if place == 0 && !is_registry {
             names.extend(self.other_roots());
         }
         let mut addresses = Vec::new();
@@ -312,6 +390,13 @@
     }
 }
 
+/// Whether the difference `update` can be applied to the manifest of `current`. Versions of a registry
+/// are points of one history, so a difference from an earlier point holds the latest value of all that
+/// changed since, and the digest of the result tells whether that was so.
+fn can_build_on(base: view::Stamp, update: &message::Update, current: view::Stamp) -> bool {
+    base == current || update.digest != 0 && base.version <= current.version && current.version > 0
+}
+
 fn difference(
     kind: catalog::Kind,
     before: &catalog::Manifest,
@@ -331,5 +416,6 @@
             removed.push(key.clone());
         }
     }
-    message::Update { kind, base: Some(base), version: current.manifest.version, removed, parts }
+    let stamp = current.manifest.stamp();
+    message::Update { kind, base: Some(base), version: stamp.version, digest: stamp.digest, removed, parts }
 }
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -1,9 +1,16 @@
-//! The other entry hosts, where nobody publishes them: hosts tell each other whom they heard of.
+//! The other entry hosts, where nobody publishes them: hosts tell each other whom they know.
 //!
-//! A host knows its seeds from the settings, sends digests to a few random members each second, and
-//! each digest names some members with the time since they were last heard. A member that is silent
-//! for a while is no longer asked; it counts for the shares of limits much longer, because a host on
-//! the other side of a partition goes on using its share.
+//! A host knows its seeds from the settings. Each second it sends a digest to a few random members
+//! and expects a reply; one that leaves two in a row unanswered is silent, and that is news which
+//! spreads with the digests like a join or a leave does. Absence of news means nothing, so the cost
+//! of a host does not grow with the fleet, and a large fleet does not take members for dead of whom
+//! it happened to hear nothing. A host that hears that it is silent says that it is not.
+//!
+//! Silent members get no work, but count for shares of limits for long: a host on the other side of a
+//! partition goes on using its share. Source of the idea: Das, Gupta and Motivala, "SWIM: scalable
+//! weakly-consistent infection-style process group membership protocol" (2002).
+
+use std::cmp;
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -13,14 +20,26 @@
 
 use super::message;
 
-/// Members named in one digest besides the sender. With two digests a second from each host, news of
-/// a host reaches a hundred others in some seconds.
-const NAMED_MOST: usize = 12;
+/// Members named in a digest besides the sender: news first, then those told least often.
+const NAMED_MOST: usize = 8;
+/// The same for a host that knows fewer members than this one.
+const NAMED_TO_BEHIND: usize = 32;
+/// The same for a host that knows less than half of them.
+const NAMED_TO_NEW: usize = 200;
+/// Digests in a row without a reply after which a member is silent.
+const UNANSWERED_MOST: u8 = 2;
 
 #[derive(Clone, Debug)]
 struct Row {
     member: message::Member,
-    heard_at: clock::Millis,
+    /// When its state last changed, as far as this host knows.
+    changed_at: clock::Millis,
+    /// Digests in which it was named since then.
+    told: u32,
+    /// Digests to it, in a row, without a reply.
+    unanswered: u8,
+    /// When a digest was sent to it that is not answered yet.
+    asked_at: Option<clock::Millis>,
 }
 
 /// What a digest brought about a member.
@@ -30,7 +49,7 @@
     None,
     /// It is new.
     Joined,
-    /// It leaves, or is another machine now.
+    /// It is silent, leaves, or is back.
     Changed,
 }
 
@@ -48,44 +67,111 @@
 
     /// Takes what a digest says of `member`.
     pub(super) fn hear(&mut self, now: clock::Millis, member: &message::Member) -> News {
-        let heard_at = now - member.age;
         let Some(row) = self.rows.get_mut(&member.peer) else {
-            self.rows.insert(member.peer.clone(), Row { member: member.clone(), heard_at });
+            let row = Row { member: member.clone(), changed_at: now, told: 0, unanswered: 0, asked_at: None };
+            self.rows.insert(member.peer.clone(), row);
             return News::Joined;
         };
-        if heard_at <= row.heard_at {
+        let is_newer = (member.turn, member.state) > (row.member.turn, row.member.state);
+        if !is_newer {
             return News::None;
         }
-        row.heard_at = heard_at;
-        let is_changed = row.member.leaving != member.leaving || row.member.power != member.power;
+        let is_changed = row.member.state != member.state || row.member.power != member.power;
         row.member = member.clone();
-        if is_changed { News::Changed } else { News::None }
+        row.told = 0;
+        if !is_changed {
+            return News::None;
+        }
+        row.changed_at = now;
+        News::Changed
+    }
+
+    /// The member at `peer` said something itself, so it is not silent, whatever others say.
+    pub(super) fn hear_from(&mut self, now: clock::Millis, peer: &CompactString) -> News {
+        let Some(row) = self.rows.get_mut(peer) else {
+            return News::None;
+        };
+        row.unanswered = 0;
+        row.asked_at = None;
+        if row.member.state != message::State::Silent {
+            return News::None;
+        }
+        row.member.state = message::State::Alive;
+        row.member.turn += 1;
+        row.changed_at = now;
+        row.told = 0;
+        News::Changed
     }
 
-    /// Forgets members that were silent for longer than `forget`; whether any was.
+    /// A digest goes to the member at `peer`.
+    pub(super) fn ask(&mut self, now: clock::Millis, peer: &CompactString) {
+        if let Some(row) = self.rows.get_mut(peer) {
+            row.asked_at.get_or_insert(now);
+        }
+    }
+
+    /// Counts digests that were not answered within `patience`. Returns the members that are silent by
+    /// this, and those to ask again.
+    pub(super) fn review(
+        &mut self,
+        now: clock::Millis,
+        patience: clock::Millis,
+    ) -> (Vec<CompactString>, Vec<CompactString>) {
+        let mut silent = Vec::new();
+        let mut doubtful = Vec::new();
+        for (peer, row) in &mut self.rows {
+            if row.asked_at.is_none_or(|at| now.since(at) < patience) {
+                continue;
+            }
+            row.asked_at = None;
+            row.unanswered = row.unanswered.saturating_add(1);
+            if row.member.state == message::State::Silent {
+                continue;
+            }
+            if row.unanswered < UNANSWERED_MOST {
+                doubtful.push(peer.clone());
+                continue;
+            }
+            row.member.state = message::State::Silent;
+            row.changed_at = now;
+            row.told = 0;
+            silent.push(row.member.name.clone());
+        }
+        (silent, doubtful)
+    }
+
+    /// Forgets members that have been silent for longer than `forget`; whether there was one.
     pub(super) fn forget(&mut self, now: clock::Millis, forget: clock::Millis) -> bool {
         let before = self.rows.len();
-        self.rows.retain(|_, row| now.since(row.heard_at) <= forget);
+        self.rows.retain(|_, row| {
+            let is_alive = row.member.state == message::State::Alive;
+            is_alive || now.since(row.changed_at) <= forget
+        });
         self.rows.len() < before
     }
 
-    /// Members as entry hosts; those that were silent for longer than `quiet` count as leaving.
-    pub(super) fn hosts(&self, now: clock::Millis, quiet: clock::Millis) -> Vec<plan::EntryHost> {
+    /// What each member does, by name.
+    pub(super) fn states(&self) -> impl Iterator<Item = (&CompactString, message::State)> {
+        self.rows.values().map(|row| (&row.member.name, row.member.state))
+    }
+
+    /// Members as entry hosts; those that are silent count as leaving.
+    pub(super) fn hosts(&self) -> Vec<plan::EntryHost> {
         let mut hosts = Vec::new();
         for (peer, row) in &self.rows {
-            let is_quiet = now.since(row.heard_at) > quiet;
+            let is_alive = row.member.state == message::State::Alive;
             hosts.push(plan::EntryHost {
                 name: row.member.name.clone(),
                 data_centre: row.member.data_centre.clone(),
                 peer: peer.clone(),
-                state: if is_quiet { plan::State::Leaving } else { plan::State::Live },
+                state: if is_alive { plan::State::Live } else { plan::State::Leaving },
             });
         }
         hosts
     }
 
     /// Members that take requests of other hosts.
-    pub(super) fn relays(&self, now: clock::Millis, quiet: clock::Millis) -> Vec<plan::Relay> {
+    pub(super) fn relays(&self) -> Vec<plan::Relay> {
         let mut relays = Vec::new();
         for row in self.rows.values() {
             let member = &row.member;
@@ -97,23 +183,59 @@
                 data_centre: member.data_centre.clone(),
                 address: member.relay.clone(),
                 power: member.power,
-                is_open: !member.leaving && now.since(row.heard_at) <= quiet,
+                is_open: member.state == message::State::Alive,
             });
         }
         relays
     }
 
-    /// Some members to name in a digest.
-    pub(super) fn sample(&self, now: clock::Millis, random: &mut rngs::SmallRng) -> Vec<message::Member> {
-        let first = if self.rows.is_empty() { 0 } else { random.random_range(0..self.rows.len()) };
-        let mut members = Vec::new();
-        for step in 0..self.rows.len().min(NAMED_MOST) {
-            let Some((peer, row)) = self.rows.get_index((first + step) % self.rows.len()) else {
+    /// Members to name in a digest to a host that knows `known` hosts.
+    pub(super) fn named(&mut self, known: usize, random: &mut rngs::SmallRng) -> Vec<message::Member> {
+        let most = match self.count() {
+            count if known * 2 < count => NAMED_TO_NEW,
+            count if known < count => NAMED_TO_BEHIND,
+            _ => NAMED_MOST,
+        };
+        let mut order: Vec<(u32, u32, usize)> = Vec::with_capacity(self.rows.len());
+        for (place, row) in self.rows.values().enumerate() {
+            order.push((row.told, random.random(), place));
+        }
+        let most = most.min(order.len());
+        if most > 0 && most < order.len() {
+            order.select_nth_unstable(most - 1);
+        }
+        let mut members = Vec::with_capacity(most);
+        for &(_, _, place) in &order[..most] {
+            let Some((_, row)) = self.rows.get_index_mut(place) else {
                 continue;
             };
-            let age = now.since(row.heard_at);
-            members.push(message::Member { peer: peer.clone(), age, ..row.member.clone() });
+            row.told = row.told.saturating_add(1);
+            members.push(row.member.clone());
         }
         members
     }
+
+    /// Up to `count` random members to send a digest to. A silent one is tried now and then, so that it is
+    /// found again when it is back.
+    pub(super) fn pick(&self, count: usize, random: &mut rngs::SmallRng) -> Vec<CompactString> {
+        let mut alive = Vec::new();
+        let mut silent = Vec::new();
+        for (peer, row) in &self.rows {
+            if row.member.state == message::State::Silent {
+                silent.push(peer);
+                continue;
+            }
+            alive.push(peer);
+        }
+        let mut picked = Vec::new();
+        for _ in 0..cmp::min(count, alive.len()) {
+            let place = random.random_range(0..alive.len());
+            picked.push(alive.swap_remove(place).clone());
+        }
+        let silent_part = silent.len() as f64 / (silent.len() + alive.len() + picked.len()).max(1) as f64;
+        if !silent.is_empty() && (picked.is_empty() || random.random_bool(silent_part.clamp(0.1, 1.0))) {
+            picked.push(silent[random.random_range(0..silent.len())].clone());
+        }
+        picked
+    }
 }
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -54,12 +54,14 @@
     /// The receiver's own clock from the digest that this one replies to. Ages are counted from it
     /// and never from arrival: a reply may have lain in a buffer while the receiver was stopped.
     pub echo: Option<clock::Millis>,
-    /// The sender and some hosts that it heard of, where nobody lists them.
+    /// The sender and some hosts that it knows, where nobody lists them.
     pub members: Vec<Member>,
+    /// How many hosts the sender knows.
+    pub known: u32,
 }
 
-/// An entry host that the sender of a digest heard of.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+/// An entry host that the sender of a digest knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Member {
     /// `IP:PORT` at which it listens for messages.
@@ -68,14 +70,27 @@
     pub name: CompactString,
     /// Its data centre.
     pub data_centre: CompactString,
-    /// Time since it was last heard by anyone, as far as the sender knows.
-    pub age: clock::Millis,
     /// `IP:PORT` at which it takes requests of other hosts; empty if it takes none.
     pub relay: CompactString,
     /// Its processor, in thousandths of a core.
     pub power: u32,
-    /// Whether it finishes what it has and goes.
-    pub leaving: bool,
+    /// Raised by the member when it has to contradict what is said of it.
+    pub turn: u64,
+    /// What it is said to do. Of two words of the same turn the later variant holds.
+    pub state: State,
+}
+
+/// What a host does, as others see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It takes work.
+    #[default]
+    Alive,
+    /// It finishes what it has and goes.
+    Leaving,
+    /// It does not reply.
+    Silent,
 }
 
 /// A request for a catalog.
@@ -96,6 +111,10 @@
     pub base: Option<view::Stamp>,
     /// The new manifest's version.
     pub version: u64,
+    /// The new manifest's digest, to check what a difference was applied to; 0 from nodes that do not
+    /// tell it.
+    #[serde(default)]
+    pub digest: u64,
     /// Keys that the new manifest does not have any more.
     pub removed: Vec<CompactString>,
     /// Parts of the new manifest.
--- a/crates/core/src/control/mirror.rs
+++ b/crates/core/src/control/mirror.rs
@@ -71,11 +71,21 @@
     text: Arc<str>,
 }
 
+/// How items are told apart.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kinds {
+    pub(super) kind_of: fn(&str) -> Option<catalog::Kind>,
+    pub(super) essence: fn(&str, Arc<str>) -> Arc<str>,
+}
+
 /// See the module.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Mirror {
     rows: IndexMap<CompactString, Row>,
     at: u64,
+    /// The revision of the last change of each catalog's items, by [`catalog::Kind::index`]. All hosts
+    /// that follow the changes find the same one, so the same content has the same version.
+    changed_at: [u64; 2],
     /// Pages of a whole read that is not finished, and the revision of the first.
     reading: Option<(u64, Vec<Item>)>,
 }
@@ -88,7 +98,7 @@
 
     /// Takes a page. When it was the last, the whole read replaces the copy, unless the copy is newer.
     /// Returns where the next page begins.
-    pub(super) fn take_page(&mut self, page: Page) -> Option<CompactString> {
+    pub(super) fn take_page(&mut self, page: Page, kinds: Kinds) -> Option<CompactString> {
         let (_, items) = self.reading.get_or_insert((page.at, Vec::new()));
         let last = page.items.last().map(|item| item.key.clone());
         items.extend(page.items);
@@ -101,24 +111,42 @@
             return None;
         }
         self.at = at;
-        self.rows.clear();
+        let before = std::mem::take(&mut self.rows);
+        let changed_at = self.changed_at;
         for item in items {
-            self.put(item);
+            self.put(item, kinds);
         }
+        self.changed_at = changed_at;
+        self.note_differences(&before, at, kinds);
         None
     }
 
+    /// A whole read does not tell when an item went, so its own revision stands for that.
+    fn note_differences(&mut self, before: &IndexMap<CompactString, Row>, at: u64, kinds: Kinds) {
+        for kind in catalog::Kind::ALL {
+            let is_kind = |key: &str| (kinds.kind_of)(key) == Some(kind);
+            let count = |rows: &IndexMap<CompactString, Row>| rows.keys().filter(|key| is_kind(key)).count();
+            let is_same = |(key, row): (&CompactString, &Row)| {
+                !is_kind(key) || before.get(key).is_some_and(|old| old.digest == row.digest)
+            };
+            let is_changed = count(before) != count(&self.rows) || !self.rows.iter().all(is_same);
+            if is_changed {
+                self.changed_at[kind.index()] = at;
+            }
+        }
+    }
+
     /// Forgets the pages of a whole read that did not come to its end.
     pub(super) fn abandon(&mut self) {
         self.reading = None;
     }
 
     /// Takes changes; `false` if they are older than the copy.
-    pub(super) fn take_changes(&mut self, events: Vec<Event>, at: u64) -> bool {
+    pub(super) fn take_changes(&mut self, events: Vec<Event>, at: u64, kinds: Kinds) -> bool {
         for event in events {
             match event {
-                Event::Put(item) => self.put(item),
-                Event::Gone { key, revision } => self.remove(&key, revision),
+                Event::Put(item) => self.put(item, kinds),
+                Event::Gone { key, revision } => self.remove(&key, revision, kinds),
             }
         }
         let is_older = at < self.at;
@@ -126,20 +154,41 @@
         !is_older
     }
 
-    fn put(&mut self, item: Item) {
-        let is_older = self.rows.get(&item.key).is_some_and(|row| row.revision >= item.revision);
-        if is_older {
+    fn put(&mut self, item: Item, kinds: Kinds) {
+        let Some(kind) = (kinds.kind_of)(&item.key) else {
+            return;
+        };
+        let old = self.rows.get(&item.key);
+        if old.is_some_and(|row| row.revision >= item.revision) {
             return;
         }
-        let digest = catalog::Digest::of(&item.text);
-        self.rows.insert(item.key, Row { revision: item.revision, digest, text: item.text });
+        let text = (kinds.essence)(&item.key, item.text);
+        let digest = catalog::Digest::of(&text);
+        if old.is_none_or(|row| row.digest != digest) {
+            self.note_change(kind, item.revision);
+        }
+        self.rows.insert(item.key, Row { revision: item.revision, digest, text });
     }
 
-    fn remove(&mut self, key: &CompactString, revision: u64) {
+    fn remove(&mut self, key: &CompactString, revision: u64, kinds: Kinds) {
         let is_older = self.rows.get(key).is_some_and(|row| row.revision < revision);
-        if is_older {
-            self.rows.swap_remove(key);
+        if !is_older {
+            return;
         }
+        self.rows.swap_remove(key);
+        if let Some(kind) = (kinds.kind_of)(key) {
+            self.note_change(kind, revision);
+        }
+    }
+
+    fn note_change(&mut self, kind: catalog::Kind, revision: u64) {
+        let changed_at = &mut self.changed_at[kind.index()];
+        *changed_at = revision.max(*changed_at);
+    }
+
+    /// The revision of the last change of the items of `kind`.
+    pub(super) fn changed_at(&self, kind: catalog::Kind) -> u64 {
+        self.changed_at[kind.index()]
     }
 
     /// The items of `kind` as a catalog's parts, with their texts.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -53,15 +53,12 @@
     /// up to three times as much, and a host that is not among its own seeds waits ten times as
     /// long. Default 300.
     pub start_wait: clock::Millis,
-    /// Silence after which another host is no longer asked, in ms, where hosts learn of each other
-    /// only from each other. Default 5000.
-    pub member_quiet: clock::Millis,
     /// Silence after which another host no longer counts for shares of limits, in ms. It must outlast
     /// partitions, in which both sides go on. Default 60000.
     pub member_forget: clock::Millis,
-    /// How long a server whose entry is missing still gets work if no outage was seen, in ms. Must be
-    /// well below the time for which servers serve after they are removed. Default 1500.
-    pub hold: clock::Millis,
+    /// How long servers go on serving after they were removed from the list, in ms; one that is missing
+    /// still gets work for a part of it. Default 3000.
+    pub serve_on: clock::Millis,
 }
 
 impl Default for Policy {
@@ -75,9 +72,8 @@
             stale: clock::Millis(25_000),
             read_pause: clock::Millis(5000),
             start_wait: clock::Millis(300),
-            member_quiet: clock::Millis(5000),
             member_forget: clock::Millis(60_000),
-            hold: clock::Millis(1500),
+            serve_on: clock::Millis(3000),
         }
     }
 }
@@ -110,6 +106,9 @@
     Registry {
         /// The catalog to which an item belongs, by its key; `None` if it is not for this system.
         kind_of: fn(&str) -> Option<catalog::Kind>,
+        /// What of an item's text matters here, by its key. Texts that differ in the rest are the same
+        /// item, which saves telling everybody about it.
+        essence: fn(&str, Arc<str>) -> Arc<str>,
     },
 }
 
@@ -233,6 +232,8 @@
     /// A newer manifest whose parts are being collected.
     pending: Option<catalog::Manifest>,
     refused: Option<view::Stamp>,
+    /// Another host has something newer, since when, and it did not come yet.
+    newer: Option<(view::Stamp, clock::Millis)>,
     /// When the platform was last known to have nothing newer.
     fresh_at: Option<clock::Millis>,
     is_watching: bool,
@@ -278,9 +279,9 @@
     /// Hosts of this data centre, by rank; the first ones watch, and the order is the push tree's.
     ranked: Vec<CompactString>,
     members: member::Members,
-    /// Members that take requests of others, as the view in force has them.
-    relays: Vec<plan::Relay>,
     is_leaving: bool,
+    /// This host's own turn as a member.
+    turn: u64,
     registry: registry::Registry,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
@@ -305,8 +306,8 @@
             peers: IndexMap::new(),
             ranked: Vec::new(),
             members: member::Members::default(),
-            relays: Vec::new(),
             is_leaving: false,
+            turn: 0,
             registry: registry::Registry::default(),
             gossip_at: now,
             started_at: now,
@@ -384,6 +385,11 @@
         self.shelves[kind.index()].fresh_at.map(|at| self.now.since(at))
     }
 
+    /// The other hosts that this one knows from hosts, and what they do; none if documents list them.
+    pub fn members(&self) -> impl Iterator<Item = (&CompactString, message::State)> {
+        self.members.states()
+    }
+
     /// Counters since the start.
     pub fn stats(&self) -> Stats {
         self.stats
@@ -498,6 +504,9 @@
         shelf.current.adopt(manifest);
         shelf.parsed.retain(|digest, _| shelf.current.texts.contains_key(digest));
         shelf.stamp = stamp;
+        if shelf.newer.is_some_and(|(newer, _)| newer <= stamp) {
+            shelf.newer = None;
+        }
         self.stats.adopted += 1;
         self.compile();
         self.push(kind, &before, old_stamp);
@@ -517,7 +526,7 @@
             Source::Documents => 0,
             Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
         };
-        self.relays = self.members.relays(self.now, self.policy.member_quiet);
+        let relays = self.members.relays();
         let this = plan::Relay {
             name: self.identity.name.clone(),
             data_centre: self.identity.data_centre.clone(),
@@ -525,7 +534,7 @@
             power: self.identity.power,
             is_open: true,
         };
-        let fleet = plan::Fleet { this: Some(&this), members, relays: &self.relays, held: &held };
+        let fleet = plan::Fleet { this: Some(&this), members, relays: &relays, held: &held };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
@@ -559,7 +568,7 @@
     /// The same where hosts are known only from each other.
     fn refresh_from_members(&mut self) {
         self.ranked.push(self.identity.name.clone());
-        for host in self.members.hosts(self.now, self.policy.member_quiet) {
+        for host in self.members.hosts() {
             if host.state == plan::State::Live && host.data_centre == self.identity.data_centre {
                 self.ranked.push(host.name.clone());
             }
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -36,6 +36,11 @@
         /// Hosts known now, this one included.
         known: usize,
     },
+    /// Hosts do not reply, and get no more work.
+    Silent {
+        /// Their names.
+        names: Vec<CompactString>,
+    },
     /// Hosts were silent for so long that they no longer count.
     Forgotten {
         /// Hosts known now, this one included.
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -98,7 +98,10 @@
             return;
         };
         self.on_registry_answer();
-        if let Some(after) = self.registry.mirror.take_page(page) {
+        let Some(kinds) = self.kinds() else {
+            return;
+        };
+        if let Some(after) = self.registry.mirror.take_page(page, kinds) {
             self.outputs.push(Output::List { after: Some(after) });
             return;
         }
@@ -127,7 +130,10 @@
                 if !events.is_empty() {
                     self.registry.call_at = self.now + NEWS_PAUSE;
                 }
-                if !self.registry.mirror.take_changes(events, at) {
+                let Some(kinds) = self.kinds() else {
+                    return;
+                };
+                if !self.registry.mirror.take_changes(events, at, kinds) {
                     self.stats.platform_stale += 1;
                     return;
                 }
@@ -161,29 +167,38 @@
 
     /// Makes catalogs of the copy, and adopts those whose content changed.
     fn rebuild(&mut self) {
-        let super::Source::Registry { kind_of } = self.reader.source else {
-            return;
-        };
         for kind in catalog::Kind::ALL {
-            self.rebuild_catalog(kind, kind_of);
+            let is_new = self.registry.mirror.changed_at(kind) > self.shelves[kind.index()].stamp.version;
+            if is_new {
+                self.rebuild_catalog(kind);
+            }
             self.shelves[kind.index()].fresh_at = Some(self.now);
         }
     }
 
-    fn rebuild_catalog(&mut self, kind: catalog::Kind, kind_of: fn(&str) -> Option<catalog::Kind>) {
-        let parts = self.registry.mirror.parts(kind, kind_of);
+    fn kinds(&self) -> Option<mirror::Kinds> {
+        match self.reader.source {
+            super::Source::Registry { kind_of, essence } => Some(mirror::Kinds { kind_of, essence }),
+            super::Source::Documents => None,
+        }
+    }
+
+    fn rebuild_catalog(&mut self, kind: catalog::Kind) {
+        let Some(kinds) = self.kinds() else {
+            return;
+        };
+        let parts = self.registry.mirror.parts(kind, kinds.kind_of);
         let is_unwritten = parts.is_empty() && kind == catalog::Kind::Config;
         if is_unwritten {
             return;
         }
-        let mut manifest = catalog::Manifest { version: self.registry.mirror.at(), ..Default::default() };
+        let mut manifest = catalog::Manifest { version: self.registry.mirror.changed_at(kind), ..Default::default() };
         for (key, digest, _) in &parts {
             manifest.parts.insert(key.clone(), *digest);
         }
         let stamp = manifest.stamp();
         let shelf = &mut self.shelves[kind.index()];
-        let is_known = stamp.digest == shelf.stamp.digest && shelf.stamp.version > 0;
-        if is_known || stamp <= shelf.stamp || shelf.refused == Some(stamp) {
+        if stamp <= shelf.stamp || shelf.refused == Some(stamp) {
             return;
         }
         for (_, digest, text) in parts {
@@ -209,7 +224,7 @@
             if leaf.leaving {
                 continue;
             }
-            let until = self.registry.held.add(self.now, leaf, self.policy.hold);
+            let until = self.registry.held.add(self.now, leaf, self.policy.serve_on);
             let span = until - self.now;
             self.outputs.push(Output::Note(note::Note::Held { server: leaf.name.clone(), span }));
         }
@@ -218,6 +233,7 @@
                 self.registry.held.remove(&leaf.name);
             }
         }
+        self.registry.held.review(after.parts.len(), self.policy.serve_on);
     }
 
     fn expire_held(&mut self) {
--- /dev/null
+++ b/crates/core/tests/registry.rs
@@ -0,0 +1,248 @@
+//! Configuration and leafs from a registry: in force everywhere within seconds, never back, and a
+//! fleet that helps those of it whom the registry turns away.
+
+#[expect(unreachable_pub, reason = "a module of this test alone")]
+mod registry_fleet;
+
+use registry_fleet::Fleet;
+use rstest::rstest;
+use shallothub_core::{
+    clock,
+    control::{self, message::State},
+};
+use shallothub_wire::peer;
+
+fn policy() -> control::Policy {
+    control::Policy { watchers: 2, start_wait: clock::Millis::ZERO, ..control::Policy::default() }
+}
+
+fn started(hosts: usize, centres: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(hosts, centres, &policy(), seed);
+    fleet.publish(1, 20, 2);
+    fleet.run_until(8000);
+    assert_eq!(fleet.have(1), hosts);
+    fleet
+}
+
+/// Operators change the configuration; every host follows within the time that they are promised.
+#[rstest]
+fn a_change_is_everywhere_within_a_second(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.put("config", "2 20");
+    fleet.run_until(9000);
+    assert_eq!(fleet.have(2), hosts);
+}
+
+/// The registry turns a third of the hosts away and serves the rest. Their callers are owed the new
+/// configuration all the same: the other hosts tell them.
+#[rstest]
+fn hosts_that_are_turned_away_are_told_by_the_others(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = started(8, 4, seed);
+    fleet.store.refuses.extend([0, 1, 2]);
+    fleet.run_until(9000);
+    fleet.put("config", "2 20");
+    fleet.run_until(12_000);
+    assert_eq!(fleet.have(2), 8);
+}
+
+/// A whole fleet loses its processes while the registry is there; it serves again in a second.
+#[rstest]
+fn a_fleet_that_died_is_back_in_a_second(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = started(8, 4, seed);
+    for host in 0..8 {
+        fleet.restart(host, 800 + host as u64 * 10);
+    }
+    fleet.run_until(10_000);
+    assert_eq!(fleet.have(1), 8);
+}
+
+/// One host starts anew while the registry is away: it learns from the others what it needs.
+#[rstest]
+fn a_host_that_starts_without_the_registry_learns_from_others(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = started(8, 4, seed);
+    fleet.store.away = true;
+    fleet.restart(5, 500);
+    fleet.run_until(10_500);
+    assert_eq!(fleet.have(1), 8);
+    assert!(fleet.may_use(5, "7-1"));
+}
+
+/// The registry is away for six seconds; leases of living leafs run out meanwhile. When it is back, the
+/// list is empty for a moment, and fills over two seconds. Callers see nothing of it, since the leafs
+/// are still there; a leaf that does not come back is gone.
+#[rstest]
+fn living_leafs_outlast_an_outage_of_the_registry(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.store.away = true;
+    fleet.run_until(14_000);
+    for shard in 0..20 {
+        for replica in 0..2 {
+            fleet.remove(&format!("leaf/{shard}-{replica}"));
+        }
+    }
+    fleet.run_until(14_200);
+    fleet.store.away = false;
+    for step in 0..19 {
+        fleet.run_until(14_200 + step * 100);
+        let shard = step;
+        for replica in 0..2 {
+            let centre = (shard + replica) % 4;
+            fleet.put(&format!("leaf/{shard}-{replica}"), &format!("s{shard} dc-{centre} ready"));
+        }
+        let missing: Vec<usize> = (0..hosts).filter(|&host| !fleet.may_use(host, "19-0")).collect();
+        assert!(missing.is_empty(), "at {}: {missing:?} dropped a leaf that may come back", fleet.now);
+        let gone: Vec<usize> = (0..hosts).filter(|&host| !fleet.may_use(host, "18-1")).collect();
+        assert!(gone.is_empty(), "at {}: {gone:?} dropped a leaf that lives", fleet.now);
+    }
+    fleet.run_until(18_000);
+    assert!((0..hosts).all(|host| !fleet.may_use(host, "19-0")), "a leaf that did not come back is used");
+    assert!((0..hosts).all(|host| fleet.may_use(host, "18-1")));
+}
+
+/// A leaf is taken away on purpose. Some say so, some are just removed; either way no host sends it new
+/// work after the time for which it still serves (three seconds).
+#[rstest]
+fn a_leaf_that_leaves_gets_nothing_in_time(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.put("leaf/3-0", "s3 dc-3 leaving");
+    fleet.remove("leaf/4-0");
+    fleet.run_until(10_900);
+    for host in 0..hosts {
+        assert!(!fleet.may_use(host, "3-0"), "host {host} still uses a leaf that leaves");
+        assert!(!fleet.may_use(host, "4-0"), "host {host} still uses a leaf that was removed");
+    }
+}
+
+/// The registry hears no watches for a second and then forgets its history, while changes are made and
+/// a leaf leaves in the gap.
+#[rstest]
+fn a_registry_that_forgets_is_read_anew(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = started(8, 4, seed);
+    fleet.store.is_deaf = true;
+    fleet.put("config", "2 20");
+    fleet.put("leaf/3-0", "s3 dc-3 leaving");
+    fleet.run_until(9000);
+    fleet.forget_history();
+    fleet.run_until(10_500);
+    assert_eq!(fleet.have(2), 8);
+    assert!((0..8).all(|host| !fleet.may_use(host, "3-0")));
+}
+
+/// One entry is garbage. It concerns one leaf, and must not keep news of the others from anyone.
+#[test]
+fn a_broken_entry_hides_only_itself() {
+    let mut fleet = started(8, 4, 1);
+    fleet.put("leaf/5-0", "");
+    fleet.put("config", "2 20");
+    fleet.run_until(9000);
+    assert_eq!(fleet.have(2), 8);
+    assert!((0..8).all(|host| !fleet.may_use(host, "5-0") && fleet.may_use(host, "5-1")));
+}
+
+fn states(fleet: &Fleet, host: usize, state: State) -> usize {
+    fleet.hosts[host].core.members().filter(|(_, other)| *other == state).count()
+}
+
+/// Hosts that start together know each other soon, from three seeds.
+#[rstest]
+fn hosts_find_each_other(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = Fleet::new(hosts, 4, &policy(), seed);
+    fleet.publish(1, 20, 2);
+    fleet.run_until(8000);
+    for host in 0..hosts {
+        assert_eq!(states(&fleet, host, State::Alive), hosts - 1, "host {host}");
+    }
+}
+
+/// A host that hears nothing of another for a while must not take it for dead: in a large fleet that is
+/// the usual case, and requests are passed on only to hosts that live.
+#[rstest]
+fn nobody_is_taken_for_silent_in_calm(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    for second in 8..60 {
+        fleet.run_until(second * 1000);
+        for host in 0..hosts {
+            assert_eq!(states(&fleet, host, State::Silent), 0, "host {host} at {second} s");
+        }
+    }
+}
+
+/// A host is cut off from all others: within seconds it gets no more work from any. When the cut heals
+/// it is a member again as soon.
+#[rstest]
+fn a_host_that_is_cut_off_is_silent_until_it_is_back(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.hosts[5].is_cut = true;
+    fleet.run_until(15_000);
+    let knowing = (0..hosts).filter(|&host| host != 5 && states(&fleet, host, State::Silent) == 1).count();
+    assert_eq!(knowing, hosts - 1);
+    fleet.hosts[5].is_cut = false;
+    fleet.run_until(25_000);
+    for host in 0..hosts {
+        assert_eq!(states(&fleet, host, State::Silent), 0, "host {host}");
+    }
+}
+
+/// A host is asked to stop: the others pass nothing more on to it after a second.
+#[rstest]
+fn a_host_that_leaves_is_known_to_leave(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.leave(5);
+    fleet.run_until(9500);
+    let knowing = (0..hosts).filter(|&host| host != 5 && states(&fleet, host, State::Leaving) == 1).count();
+    assert!(knowing >= (hosts - 1) * 9 / 10, "{knowing} of {hosts}");
+}
+
+/// An index is cut anew: 405 leafs start within seconds, report their warm-up step by step, and the old
+/// 270 leave. Links of small hosts are thin and bytes between data centres dear, so the news must reach
+/// everyone in time without every host asking for all of it again.
+#[test]
+fn a_busy_registry_costs_few_bytes() {
+    let mut fleet =
+        Fleet::new(67, 4, &policy(), 1).measured(|message| peer::encode(message).map_or(0, |bytes| bytes.len()));
+    fleet.publish(1, 90, 3);
+    fleet.run_until(8000);
+    let before: u64 = fleet.hosts.iter().map(|host| host.sent_bytes).sum();
+    for step in 0..4_u64 {
+        for leaf in 0..405_u64 {
+            fleet.run_until(8000 + step * 1200 + leaf * 2);
+            fleet.put(&format!("leaf/new-{leaf}"), &format!("n{} dc-{} ready {step}", leaf / 3, leaf % 4));
+        }
+    }
+    for leaf in 0..270 {
+        fleet.run_until(13_000 + leaf * 4);
+        fleet.put(&format!("leaf/{}-{}", leaf / 3, leaf % 3), &format!("s{} dc-0 leaving", leaf / 3));
+    }
+    fleet.run_until(18_000);
+    assert!((0..67).all(|host| fleet.may_use(host, "new-404") && !fleet.may_use(host, "89-2")));
+    let sent: u64 = fleet.hosts.iter().map(|host| host.sent_bytes).sum();
+    let rate = (sent - before) / 67 / 10;
+    println!("{rate} bytes a second a host");
+    assert!(rate < 19_000, "{rate} bytes a second a host");
+}
+
+/// Views of one host never go back, whatever the registry, its answers and other hosts say.
+#[rstest]
+fn views_never_go_back(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut fleet = started(8, 4, seed);
+    for change in 2..30 {
+        fleet.put("config", &format!("{change} 20"));
+        match change % 6 {
+            0 => fleet.store.refuses = (0..8).filter(|host| (host + change as usize).is_multiple_of(3)).collect(),
+            1 => fleet.store.away = true,
+            2 => fleet.store.away = false,
+            3 => fleet.forget_history(),
+            4 => fleet.store.refuses.clear(),
+            _ => fleet.restart(change as usize % 8, 200),
+        }
+        fleet.run_until(8000 + change * 150);
+    }
+    for host in &fleet.hosts {
+        let numbers: Vec<u64> = host.views.iter().map(|view| view.number).collect();
+        assert!(numbers.is_sorted(), "{numbers:?}");
+    }
+    fleet.store.away = false;
+    fleet.store.refuses.clear();
+    fleet.run_until(18_000);
+    assert_eq!(fleet.have(29), 8);
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -287,6 +287,7 @@
             refused: self.refused.clone(),
             control: stats,
             has_view: self.core.view().is_some(),
+            members: self.core.members().map(|(name, state)| (name.clone(), state)).collect(),
             classes: classes.unwrap_or_default(),
         }));
     }
@@ -331,6 +332,7 @@
             tracing::info!(peer = %from, stamp = %stamp, "took a catalog of a peer")
         }
         note::Note::Joined { name, known } => tracing::info!(peer = %name, known, "heard of a host"),
+        note::Note::Silent { names } => tracing::info!(peers = names.join(","), "hosts do not reply"),
         note::Note::Forgotten { known } => tracing::info!(known, "forgot silent hosts"),
         note::Note::Held { server, span } => {
             tracing::info!(%server, hold_ms = span.0, "a server is missing from the list and held");
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -97,6 +97,8 @@
     pub control: control::Stats,
     /// Whether a view is in force.
     pub has_view: bool,
+    /// Other hosts that this one knows from hosts, and what they do.
+    pub members: Vec<(CompactString, control::message::State)>,
     /// Selectors in force.
     pub classes: Vec<CompactString>,
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -18,6 +18,7 @@
                 sent: sent.map(clock::Millis),
                 echo: echo.map(clock::Millis),
                 members: vec![member],
+                known: 2,
             })
         });
     let ask = proptest::collection::vec(any::<u64>(), 0..20).prop_map(|have| {
@@ -28,7 +29,7 @@
         let part = message::Part { key: "k".into(), digest: catalog::Digest::of(&text), text: Some(text.into()) };
         let removed = vec!["gone".into()];
         let kind = catalog::Kind::Config;
-        message::Body::Catalog(message::Update { kind, base, version, removed, parts: vec![part] })
+        message::Body::Catalog(message::Update { kind, base, version, digest: version, removed, parts: vec![part] })
     });
     prop_oneof![digest, ask, update]
 }
