Pass a silent server over later than its attempt is hedged

Cause: one attempt in twelve marked its server as silent, so a twelfth of all attempts hid a well server for 150 ms, and each wrote a line to the log.

--- a/crates/core/src/traffic/hedge.rs
+++ b/crates/core/src/traffic/hedge.rs
@@ -33,33 +33,50 @@
         usual.unwrap_or(DELAY_PRIOR).min(latest).max(self.policy.hedge_floor)
     }
 
-    /// Asks a second replica for shards that are silent for longer than most.
+    /// After how long the server of an attempt counts as silent. Later than a hedge: one attempt in some
+    /// takes longer than most, and its server is well.
+    fn silence_delay(&self, class: usize, query: &query::Query) -> clock::Millis {
+        let delay = self.hedge_delay(class, query);
+        if query.is_passed_on {
+            return delay;
+        }
+        let usual = self.classes[class].attempts.quantile(self.policy.silence_quantile);
+        usual.unwrap_or(DELAY_PRIOR).min(delay + delay).max(delay)
+    }
+
+    /// Asks a second replica for shards that are silent for longer than most, and passes servers over
+    /// that are silent for longer than nearly all.
     pub(super) fn hedge(&mut self, query: id::Query) {
         let Some(row) = self.queries.get(query.0) else {
             return;
         };
         let delay = self.hedge_delay(row.class, row);
+        let silence = self.silence_delay(row.class, row);
         let is_passed_on = row.is_passed_on;
         let mut next: Option<clock::Millis> = None;
+        let mut look_at = |at: clock::Millis| next = Some(next.map_or(at, |held| held.min(at)));
         for part in 0..row.parts.len() as u32 {
             let Some(sent) = self.silent_since(query, part) else {
                 continue;
             };
-            if self.now.since(sent) < delay {
-                next = Some(next.map_or(sent, |held| held.min(sent)));
-                continue;
+            let age = self.now.since(sent);
+            if age >= silence {
+                self.note_silent(query, part, sent);
+            } else {
+                look_at(sent + silence);
             }
-            self.note_silent(query, part, sent);
             if is_passed_on {
                 self.wait_for_host(query, sent);
                 return;
             }
-            if !self.hedge_part(query, part) {
-                next = Some(self.now);
+            if age < delay {
+                look_at(sent + delay);
+            } else if !self.hedge_part(query, part) {
+                look_at(self.now + delay);
             }
         }
-        if let Some(since) = next {
-            self.arm_hedge(query, since);
+        if let Some(at) = next {
+            self.timers.push(at.max(self.now + clock::Millis(1)), Timer::Hedge(query));
         }
     }
 
@@ -82,10 +99,10 @@
         }
     }
 
-    /// When the only live attempt of a shard without a reply was sent.
+    /// When the oldest live attempt of a shard without a reply was sent.
     fn silent_since(&self, query: id::Query, part: u32) -> Option<clock::Millis> {
         let state = &self.queries.get(query.0)?.parts[part as usize];
-        if state.has_reply() || state.live_count() != 1 {
+        if state.has_reply() {
             return None;
         }
         let attempt = state.live.iter().flatten().next()?;
@@ -101,7 +118,8 @@
         let Some(row) = self.queries.get(query.0) else {
             return true;
         };
-        if row.parts[part as usize].was_tried(server) {
+        let state = &row.parts[part as usize];
+        if state.was_tried(server) || state.live_count() == query::LIVE {
             return true;
         }
         if !self.has_room(server) || self.servers[server.index()].waiting_len() > 0 {
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -76,6 +76,9 @@
     /// costs its connection, which takes longer to open than most answers; 0 ends it at once, which
     /// frees the server. Default 0.
     pub linger: clock::Millis,
+    /// Quantile of the class's recent attempt latency after which a server counts as silent, but no later
+    /// than twice the wait before a hedge. Default 0.98.
+    pub silence_quantile: f64,
     /// First time that a server is passed over after it was silent for longer than most, in ms;
     /// doubles while it stays silent. 0 passes over none. Default 0.
     pub silence: clock::Millis,
@@ -131,6 +134,7 @@
             margin: clock::Millis(2),
             aim_margin: clock::Millis(10),
             linger: clock::Millis::ZERO,
+            silence_quantile: 0.98,
             silence: clock::Millis::ZERO,
             score_band: 1.0,
             far_cost: 1.0,
