Read settings again while running, and bound descriptors

Cause: the platform may write a node's settings without a word, and seeds may be stale; only the log filter was taken over, on SIGHUP. An owner of 135 shards of three leafs may open more connections than it has descriptors, and a failed connect would count against the leaf. Ruled out: inotify (not there); a restart of the lanes. Change: the file is read on SIGHUP and when its time of change differs; seeds and filter are taken over, the rest is said to need a restart. Connections to servers take 0.6 of the descriptors; the longest idle one makes room.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -162,6 +162,8 @@
     Revalidate,
     /// This host finishes what it has and goes.
     Leaving,
+    /// The settings name other hosts to ask.
+    Seeds(Vec<CompactString>),
 }
 
 /// Something for the shell to do.
@@ -357,6 +359,7 @@
             Input::Peer(message) => self.on_message(message),
             Input::Revalidate => self.on_revalidate(),
             Input::Leaving => self.on_leaving(),
+            Input::Seeds(seeds) => self.identity.seeds = seeds,
         }
     }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -118,6 +118,7 @@
         match word {
             shared::ToControl::Input(input) => inputs.push(input),
             shared::ToControl::Revalidate => inputs.push(control::Input::Revalidate),
+            shared::ToControl::Seeds(seeds) => inputs.push(control::Input::Seeds(seeds)),
             shared::ToControl::Leaving => inputs.push(control::Input::Leaving),
             shared::ToControl::Peer(bytes) => {
                 self.shared.metrics.peer_bytes.with_label_values(&["received"]).inc_by(bytes.len() as u64);
--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -77,15 +77,14 @@
 }
 
 async fn connect(shell: &Rc<Shell>, dispatch: &event::Dispatch) -> Option<pool::Connection> {
-    let open = shell.state.borrow_mut().pools.open(dispatch.server);
-    let Some(open) = open else {
+    // Counts the connection from now on, also while it is being opened, until it is dropped.
+    let counted = shell.state.borrow_mut().pools.open(dispatch.server);
+    let Some(counted) = counted else {
         let detail = format!("{}: one connection more than the share", dispatch.address);
         let name = invariant::Name::BoundedConnections;
         shell.shared.metrics.breach(&invariant::Breach { name, detail });
         return None;
     };
-    // Counts the connection from now on, also while it is being opened, until it is dropped.
-    let counted = pool::Counted(open);
     let connecting = net::TcpStream::connect(dispatch.address.as_str());
     let stream = timeout(CONNECT, connecting).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -120,6 +120,7 @@
     fn new(shared: Arc<shared::Shared>, index: usize) -> Rc<Self> {
         let lane = traffic::Lane { index: index as u32, count: shared.lanes.len() as u32 };
         let seed = catalog::Digest::of(&shared.settings.name).0 ^ shared.origin.start() ^ index as u64;
+        let pools = pool::Pools::new(shared.settings.descriptors, shared.lanes.len());
         let core = traffic::Core::new(shared.settings.traffic.clone(), lane, seed, shared.origin.now());
         Rc::new(Self {
             shared,
@@ -130,7 +131,7 @@
                 callers: IndexMap::new(),
                 replies: IndexMap::new(),
                 running: IndexMap::new(),
-                pools: pool::Pools::default(),
+                pools,
             }),
             links: RefCell::default(),
             rearm: tokio::sync::Notify::new(),
--- a/crates/node/src/lane/pool.rs
+++ b/crates/node/src/lane/pool.rs
@@ -48,13 +48,24 @@
     }
 }
 
-/// One in the count of connections to a server, until dropped.
+/// One in the counts of connections to a server and to all, until dropped.
 #[derive(Debug)]
-pub(crate) struct Counted(pub(crate) Rc<Cell<usize>>);
+pub(crate) struct Counted([Rc<Cell<usize>>; 2]);
+
+impl Counted {
+    fn new(counts: [Rc<Cell<usize>>; 2]) -> Self {
+        for count in &counts {
+            count.set(count.get() + 1);
+        }
+        Self(counts)
+    }
+}
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        for count in &self.0 {
+            count.set(count.get().saturating_sub(1));
+        }
     }
 }
 
@@ -71,13 +82,26 @@
     open: Rc<Cell<usize>>,
 }
 
+/// Part of the process's descriptors that connections to servers take at most; callers, hosts and the
+/// rest need theirs.
+const DESCRIPTORS_PART: f64 = 0.6;
+
 /// Idle connections by server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pools {
     pools: IndexMap<id::Server, Pool>,
+    /// Connections to all servers, and the most that there may be.
+    open: Rc<Cell<usize>>,
+    most: usize,
 }
 
 impl Pools {
+    /// Pools of one of `lanes` lanes of a process that may have `descriptors` open.
+    pub(crate) fn new(descriptors: u32, lanes: usize) -> Self {
+        let most = (f64::from(descriptors) * DESCRIPTORS_PART) as usize / lanes.max(1);
+        Self { pools: IndexMap::new(), open: Rc::default(), most: most.max(1) }
+    }
+
     /// Takes the most recently used idle connection that is still open and young enough for the
     /// request; older ones are closed on the way.
     pub(crate) fn take(&mut self, server: id::Server, now: clock::Millis, idempotent: bool) -> Option<Connection> {
@@ -90,16 +114,26 @@
         None
     }
 
-    /// Counts a connection that is about to be opened, and hands out the count for it to keep.
+    /// Counts a connection that is about to be opened, and hands out its place in the count to keep.
     /// `None` if it would be one more than the share, which the core's bound on attempts excludes.
-    pub(crate) fn open(&mut self, server: id::Server) -> Option<Rc<Cell<usize>>> {
+    pub(crate) fn open(&mut self, server: id::Server) -> Option<Counted> {
+        if self.open.get() >= self.most {
+            self.close_oldest();
+        }
         let pool = self.pools.entry(server).or_default();
-        let open = pool.open.get() + 1;
-        if open > pool.keep {
+        if pool.open.get() >= pool.keep {
             return None;
         }
-        pool.open.set(open);
-        Some(Rc::clone(&pool.open))
+        Some(Counted::new([Rc::clone(&pool.open), Rc::clone(&self.open)]))
+    }
+
+    /// Closes the connection that has been idle for longest, to make room for one that is needed. Without
+    /// an idle one there is one more than there should be, which the reserve bears.
+    fn close_oldest(&mut self) {
+        let idle = self.pools.values_mut().filter(|pool| !pool.idle.is_empty());
+        if let Some(pool) = idle.min_by_key(|pool| pool.idle[0].idle_since) {
+            pool.idle.remove(0);
+        }
     }
 
     /// Puts a connection back, or closes it if the share has become smaller.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod life;
 pub mod log;
 pub mod metrics;
+mod reload;
 pub mod run;
 pub mod shared;
 pub mod time;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -5,9 +5,9 @@
 use shallothub_settings::{document, node};
 use shallothub_wire::{own, seam};
 use snafu::ResultExt;
-use tokio::{runtime, signal::unix, sync::mpsc};
+use tokio::{runtime, signal::unix, sync::mpsc, time::sleep};
 
-use crate::{control, error, lane, life, log, metrics, shared};
+use crate::{control, error, lane, life, log, metrics, reload, shared};
 
 /// Reads and checks the settings at `path`.
 pub fn settings(path: &str) -> Result<node::Settings, error::Error> {
@@ -23,8 +23,7 @@
     seam::Interface { callers: &own::Own, leafs: &own::Own, reader: document::READER, registry: None }
 }
 
-/// Runs a node until SIGTERM or SIGINT and its drain. SIGHUP reads the log filter again. `platform`
-/// is the interface of the users' platform.
+/// Runs a node until SIGTERM or SIGINT and its drain. SIGHUP reads the settings again. `platform` is the interface of the users' platform.
 pub fn run(path: &str, platform: seam::Interface) -> Result<(), error::Error> {
     let settings = settings(path)?;
     let log = log::start(&settings.log)?;
@@ -111,11 +110,13 @@
     let draining = match ready {
         None => life::Node::new(shared).abandon(),
         Some(ready) => {
+            let mut watch = reload::Watch::new(shared, log, path);
             loop {
                 tokio::select! {
                     _ = term.recv() => break,
                     _ = interrupt.recv() => break,
-                    _ = hang_up.recv() => reload(log, path),
+                    _ = hang_up.recv() => watch.read("SIGHUP"),
+                    () = sleep(reload::LOOK) => watch.look(),
                 }
             }
             ready.drain()
@@ -128,12 +129,3 @@
     }
     Ok(())
 }
-
-/// Takes the log filter from the settings again; anything else needs a restart.
-fn reload(log: &log::Handle, path: &str) {
-    match settings(path) {
-        Ok(settings) if log.set(&settings.log) => tracing::info!(filter = %settings.log, "log filter set"),
-        Ok(settings) => tracing::warn!(filter = %settings.log, "the log filter cannot be read; the old one stays"),
-        Err(error) => tracing::warn!(detail = %error, "the settings have faults; the old log filter stays"),
-    }
-}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -69,6 +69,8 @@
     Revalidate,
     /// The node is asked to stop.
     Leaving,
+    /// The settings name other hosts to ask.
+    Seeds(Vec<CompactString>),
     /// Why servers are reached by a selector or not.
     Explain(CompactString, oneshot::Sender<Option<Vec<(CompactString, plan::Reason)>>>),
 }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -53,6 +53,10 @@
     /// host of a data centre, also on these themselves. Default none.
     #[serde(default)]
     pub seeds: Vec<net::SocketAddr>,
+    /// Most descriptors that the process may have open; connections to backend servers take a part of
+    /// them at most. Default 4096.
+    #[serde(default = "descriptors")]
+    pub descriptors: u32,
     /// Traffic threads. Each gets a part of this host's share of connections, so a small share
     /// wants one thread. Default 1.
     #[serde(default = "one")]
@@ -91,6 +95,10 @@
     1
 }
 
+fn descriptors() -> u32 {
+    4096
+}
+
 fn info() -> CompactString {
     CompactString::const_new("info")
 }
