Ask a server only at its address in force, and end a connection with its last answer

A host kept asking a server at an address that its entry no longer named, over connections it had kept: 106,000 searches in ten minutes, none at the address in force. Kept connections were looked up by server only. 2. Behind a request that was turned away unread (a transfer coding the library does not know), the library decoded the rest of its buffer as a request, and the host ran it, although its answer had said that the connection ends. A caller who pipelines takes such a request as not run. Ruled out: the choice among replicas (evidence and score were even), the store's news (the view had both revisions). Change: a kept connection knows its address, and is closed when another one is in force. A link remembers that it gave its last answer; what follows is turned away without being run.

--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -39,7 +39,7 @@
     let mut is_new = false;
     let mut unsent: Option<http::Request<Full<Bytes>>> = None;
     loop {
-        let idle = shell.state.borrow_mut().pools.take(dispatch.server, shell.now(), dispatch.idempotent);
+        let idle = shell.state.borrow_mut().pools.take(dispatch, shell.now());
         let connection = match idle {
             Some(connection) => Some(connection),
             None => {
@@ -94,7 +94,7 @@
         connection.await.ok();
     });
     shell.shared.metrics.connections.inc();
-    Some(pool::Connection::new(sender, driver.abort_handle(), counted))
+    Some(pool::Connection::new(sender, driver.abort_handle(), counted, dispatch.address.clone()))
 }
 
 async fn receive(
--- a/crates/node/src/lane/ingress.rs
+++ b/crates/node/src/lane/ingress.rs
@@ -39,10 +39,19 @@
     let (head, ext) = request.into_parts();
     let (ext, body) = ext.replace_body(());
     let link = shell.link(*ext.socket_addr());
+    if link.as_ref().is_some_and(link::Link::is_closed) {
+        let refusal = seam::Refusal {
+            status: StatusCode::BAD_REQUEST,
+            code: "after_last",
+            message: "an earlier answer ended this connection; send the request on a new one".to_owned(),
+        };
+        return Ok(turn_away(shell, &refusal, Some(*ext.socket_addr())));
+    }
     let incoming = Incoming { method: head.method, target: head.uri, headers: head.headers, body };
     let response = serve(shell, side, incoming, link.as_ref(), Some(*ext.socket_addr())).await;
     if let Some(link) = link {
-        link.end();
+        let is_last = response.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
+        link.end(is_last);
     }
     Ok(response)
 }
@@ -71,11 +80,7 @@
     }
     let (request, patience) = match receive(shell, incoming).await {
         Ok((request, patience)) => (request, order.as_ref().map_or(patience, |order| order.patience)),
-        Err(refusal) => {
-            tracing::info!(code = refusal.code, detail = %refusal.message, from = ?from, "turned a request away");
-            shell.shared.metrics.refused(refusal.code);
-            return close(respond(shell, shell.shared.interface.callers.refuse(&refusal)));
-        }
+        Err(refusal) => return turn_away(shell, &refusal, from),
     };
     let spent = started.elapsed().as_millis() as u64;
     let patience = patience.map(|patience| patience - clock::Millis(spent));
@@ -104,6 +109,13 @@
     response
 }
 
+/// Answers a request that is not read any further.
+fn turn_away(shell: &Shell, refusal: &seam::Refusal, from: Option<net::SocketAddr>) -> Response<ResponseBody> {
+    tracing::info!(code = refusal.code, detail = %refusal.message, from = ?from, "turned a request away");
+    shell.shared.metrics.refused(refusal.code);
+    close(respond(shell, shell.shared.interface.callers.refuse(refusal)))
+}
+
 /// Tells another host to ask someone else: this one leaves, and will not be asked again.
 fn leave(shell: &Shell) -> Response<ResponseBody> {
     let mut response = Response::new(Bytes::new());
--- a/crates/node/src/lane/link.rs
+++ b/crates/node/src/lane/link.rs
@@ -54,6 +54,8 @@
     is_ended: bool,
     /// A request is being read or handled.
     is_busy: bool,
+    /// An answer said that the connection ends with it.
+    is_closed: bool,
     /// When the connection last became idle.
     idle_since: clock::Millis,
 }
@@ -65,13 +67,22 @@
 }
 
 impl Link {
-    /// Marks the end of a request: the connection is idle from when its answer is written.
-    pub(super) fn end(&self) {
+    /// Marks the end of a request: the connection is idle from when its answer is written, or over if
+    /// that `is_last`.
+    pub(super) fn end(&self, is_last: bool) {
         let mut state = self.0.state.borrow_mut();
         state.is_busy = false;
+        state.is_closed |= is_last;
         state.idle_since = self.0.shell.now();
     }
 
+    /// Whether an earlier answer was the last one. The library goes on with what it has read already;
+    /// behind a request that was turned away unread, those bytes need not be a request at all, and
+    /// a caller takes whatever follows a last answer as not run.
+    pub(super) fn is_closed(&self) -> bool {
+        self.0.state.borrow().is_closed
+    }
+
     /// Returns when the caller is gone. May be dropped at any time.
     pub(super) async fn gone(&self) {
         loop {
@@ -189,7 +200,13 @@
             return Err(());
         };
         let shell = Rc::clone(&self.0);
-        let state = State { ahead: BytesMut::new(), is_ended: false, is_busy: false, idle_since: shell.now() };
+        let state = State {
+            ahead: BytesMut::new(),
+            is_ended: false,
+            is_busy: false,
+            is_closed: false,
+            idle_since: shell.now(),
+        };
         let inner = Rc::new(Inner { stream, shell, address, state: RefCell::new(state) });
         self.0.links.borrow_mut().insert(address, Rc::downgrade(&inner));
         Ok(Link(inner))
--- a/crates/node/src/lane/pool.rs
+++ b/crates/node/src/lane/pool.rs
@@ -8,10 +8,11 @@
 use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use indexmap::IndexMap;
-use shallothub_core::{clock, id};
+use shallothub_core::{clock, id, traffic::event};
 use tokio::task;
 
 /// Longest time that a connection is kept idle when the server does not say how long it does.
@@ -30,6 +31,8 @@
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     pub(crate) driver: task::AbortHandle,
     pub(crate) _counted: Counted,
+    /// Where it leads.
+    pub(crate) address: CompactString,
     /// When it became idle.
     pub(crate) idle_since: clock::Millis,
     /// How long the server keeps it idle.
@@ -37,14 +40,22 @@
 }
 
 impl Connection {
-    pub(crate) fn new(sender: http1::SendRequest<Full<Bytes>>, driver: task::AbortHandle, counted: Counted) -> Self {
-        Self { sender, driver, _counted: counted, idle_since: clock::Millis::ZERO, idle_most: IDLE }
+    pub(crate) fn new(
+        sender: http1::SendRequest<Full<Bytes>>,
+        driver: task::AbortHandle,
+        counted: Counted,
+        address: CompactString,
+    ) -> Self {
+        let idle_since = clock::Millis::ZERO;
+        Self { sender, driver, _counted: counted, address, idle_since, idle_most: IDLE }
     }
 
-    fn is_usable(&self, now: clock::Millis, idempotent: bool) -> bool {
+    fn is_usable(&self, now: clock::Millis, dispatch: &event::Dispatch) -> bool {
         let idle = now.since(self.idle_since);
         let most = self.idle_most.scale(IDLE_USED);
-        self.sender.is_ready() && idle <= if idempotent { most } else { most.min(IDLE_ONCE) }
+        let most = if dispatch.idempotent { most } else { most.min(IDLE_ONCE) };
+        // A server that moved may still answer where it was, as whatever it was then.
+        self.sender.is_ready() && idle <= most && self.address == dispatch.address
     }
 }
 
@@ -102,12 +113,12 @@
         Self { pools: IndexMap::new(), open: Rc::default(), most: most.max(1) }
     }
 
-    /// Takes the most recently used idle connection that is still open and young enough for the
-    /// request; older ones are closed on the way.
-    pub(crate) fn take(&mut self, server: id::Server, now: clock::Millis, idempotent: bool) -> Option<Connection> {
-        let pool = self.pools.get_mut(&server)?;
+    /// Takes the most recently used idle connection to the server's address that is still open and young
+    /// enough for the request; others are closed on the way.
+    pub(crate) fn take(&mut self, dispatch: &event::Dispatch, now: clock::Millis) -> Option<Connection> {
+        let pool = self.pools.get_mut(&dispatch.server)?;
         while let Some(connection) = pool.idle.pop() {
-            if connection.is_usable(now, idempotent) {
+            if connection.is_usable(now, dispatch) {
                 return Some(connection);
             }
         }
