--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -61,9 +61,9 @@
         let identity = control::Identity {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
-            peer: format_compact!("{}", shared.peer),
+            peer: format_compact!("{}", shared.addresses.peer),
             seeds: settings.seeds.iter().map(|seed| format_compact!("{seed}")).collect(),
-            relay: settings.relay.map(|relay| format_compact!("{relay}")).unwrap_or_default(),
+            relay: shared.addresses.relay.map(|relay| format_compact!("{relay}")).unwrap_or_default(),
             power: (settings.processor * 1000.0) as u32,
         };
         let seed = catalog::Digest::of(&settings.name).0 ^ shared.origin.start();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -35,6 +35,8 @@
     pub peer_bytes: IntCounterVec,
     /// Connections opened to backend servers.
     pub connections: IntCounter,
+    /// Requests passed on to another host and answered by it.
+    pub relayed: IntCounter,
     /// Requests turned away before they reached the core, by code.
     pub refusals: IntCounterVec,
 }
@@ -73,6 +75,7 @@
                 &["direction"],
             )?,
             connections: IntCounter::new("shallothub_connections", "Connections opened to backend servers")?,
+            relayed: IntCounter::new("shallothub_relayed", "Requests that another host gathered for this one")?,
             refusals: IntCounterVec::new(
                 Opts::new("shallothub_refusals", "Requests turned away before they reached the core"),
                 &["code"],
@@ -87,6 +90,7 @@
         metrics.registry.register(Box::new(metrics.control.clone()))?;
         metrics.registry.register(Box::new(metrics.connections.clone()))?;
         metrics.registry.register(Box::new(metrics.refusals.clone()))?;
+        metrics.registry.register(Box::new(metrics.relayed.clone()))?;
         metrics.registry.register(Box::new(metrics.peer_bytes.clone()))?;
         for name in invariant::Name::ALL {
             metrics.breaches.with_label_values(&[name.as_str()]).inc_by(0);
@@ -110,6 +114,10 @@
         let outcome = answer.outcome.as_str();
         self.query_ms.with_label_values(&[class, outcome]).observe(took_ms);
         self.answers.with_label_values(&[class, outcome, answer.code.as_str()]).inc();
+        if answer.via.is_some() {
+            self.relayed.inc();
+            return;
+        }
         if answer.outcome == event::Outcome::Answered && shards > 0 {
             let share = answer.contributed.len() as f64 / shards as f64;
             self.coverage.with_label_values(&[class]).observe(share);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -67,7 +67,13 @@
         lane_words.push(receiver);
     }
     let peers = control::peer::Listener::new(settings.peer, control.clone())?;
-    let addresses = [listener.local_addr().context(error::ListenSnafu { address })?, peers.address()];
+    let addresses = shared::Addresses {
+        listen: listener.local_addr().context(error::ListenSnafu { address })?,
+        peer: peers.address(),
+        ready: local(ready.as_ref()),
+        admin: local(admin.as_ref()),
+        relay: local(relay.as_ref()),
+    };
     let shared = shared::Shared::new(settings, interface, addresses, metrics::Metrics::new()?, lanes, control);
     let shared = Arc::new(shared);
     report_start(&shared);
@@ -82,6 +88,11 @@
     Ok(shared)
 }
 
+/// The address of a listener, with the port that was given out if the settings say 0.
+fn local(listener: Option<&net::TcpListener>) -> Option<net::SocketAddr> {
+    listener.and_then(|listener| listener.local_addr().ok())
+}
+
 fn report_start(shared: &shared::Shared) {
     let settings = &shared.settings;
     tracing::info!(
@@ -90,8 +101,11 @@
         version = env!("CARGO_PKG_VERSION"),
         interface = ?settings.interface,
         life = format!("{:016x}", shared.origin.start()),
-        listen = %shared.listen,
-        peer = %shared.peer,
+        listen = %shared.addresses.listen,
+        peer = %shared.addresses.peer,
+        ready = shared.addresses.ready.map(tracing::field::display),
+        admin = shared.addresses.admin.map(tracing::field::display),
+        relay = shared.addresses.relay.map(tracing::field::display),
         platform = %settings.platform,
         "listening"
     );
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -105,6 +105,21 @@
     pub classes: Vec<CompactString>,
 }
 
+/// Where a node listens, with the ports that were given out where the settings say 0.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub listen: net::SocketAddr,
+    /// For messages of other hosts.
+    pub peer: net::SocketAddr,
+    /// For the balancer, if apart.
+    pub ready: Option<net::SocketAddr>,
+    /// For operators, if apart.
+    pub admin: Option<net::SocketAddr>,
+    /// For requests of other hosts, if it takes them.
+    pub relay: Option<net::SocketAddr>,
+}
+
 /// See the module.
 #[derive(Debug)]
 pub struct Shared {
@@ -112,10 +127,8 @@
     pub settings: node::Settings,
     /// The interface that it speaks.
     pub interface: seam::Interface,
-    /// Where callers are served, with the port that was given out if the settings say 0.
-    pub listen: net::SocketAddr,
-    /// Where other hosts are heard, likewise.
-    pub peer: net::SocketAddr,
+    /// Where it listens.
+    pub addresses: Addresses,
     /// Where times are counted from.
     pub origin: time::Origin,
     /// Metrics of all threads.
@@ -139,7 +152,7 @@
     pub fn new(
         settings: node::Settings,
         interface: seam::Interface,
-        [listen, peer]: [net::SocketAddr; 2],
+        addresses: Addresses,
         metrics: metrics::Metrics,
         lanes: Vec<mpsc::UnboundedSender<ToLane>>,
         control: mpsc::UnboundedSender<ToControl>,
@@ -149,8 +162,7 @@
         Self {
             settings,
             interface,
-            listen,
-            peer,
+            addresses,
             origin: time::Origin::new(),
             metrics,
             status: ArcSwap::default(),
--- /dev/null
+++ b/crates/standin/src/registry.rs
@@ -0,0 +1,187 @@
+//! The store of a platform where servers register themselves: a keyspace with revisions that is read
+//! whole and followed by its changes. It can be away, silent or slow, and forget its history.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time,
+};
+
+use compact_str::CompactString;
+use hyper::body;
+use indexmap::IndexMap;
+use shallothub_core::{control::mirror, plan};
+use shallothub_platform::opposite;
+use tokio::{net, sync, task};
+
+use crate::http_server;
+
+/// Items of one page.
+const PAGE: usize = 500;
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should.
+    #[default]
+    Proper,
+    /// Answers that it is busy.
+    Busy,
+    /// Cuts every connection.
+    Away,
+    /// Says nothing.
+    Silent,
+    /// Takes so many ms longer.
+    Slow(u64),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: IndexMap<CompactString, mirror::Item>,
+    log: Vec<mirror::Event>,
+    revision: u64,
+    forgotten: u64,
+    mode: Mode,
+    calls: u64,
+}
+
+/// A store that runs.
+#[derive(Debug, Default)]
+pub struct Registry {
+    state: Mutex<State>,
+    changed: sync::Notify,
+}
+
+impl Registry {
+    /// Starts a store on `listener`, in the runtime that this is called in.
+    pub fn start(listener: net::TcpListener) -> Arc<Self> {
+        let registry = Arc::new(Self::default());
+        let handler = {
+            let registry = Arc::clone(&registry);
+            Arc::new(move |request| Box::pin(Arc::clone(&registry).handle(request)) as http_server::Pending)
+        };
+        task::spawn(http_server::serve(listener, u32::MAX, Arc::default(), handler));
+        registry
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes an item as it is.
+    pub fn put(&self, key: &str, text: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let item = mirror::Item { key: key.into(), text: text.into(), revision: state.revision };
+        state.items.insert(item.key.clone(), item.clone());
+        state.log.push(mirror::Event::Put(item));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.swap_remove(key);
+        state.log.push(mirror::Event::Gone { key: key.into(), revision });
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes the operators' configuration.
+    pub fn configure(&self, routing: &plan::Routing) {
+        let (key, text) = opposite::configuration(routing);
+        self.put(&key, &text);
+    }
+
+    /// Writes a server's entry.
+    pub fn register(&self, leaf: &plan::Leaf) {
+        let (key, text) = opposite::entry(leaf);
+        self.put(&key, &text);
+    }
+
+    /// Removes a server's entry.
+    pub fn unregister(&self, leaf: &plan::Leaf) {
+        self.remove(&opposite::entry(leaf).0);
+    }
+
+    /// Drops the history; watches that wait hear that it is gone.
+    pub fn forget(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.revision;
+        state.log.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Changes the behaviour.
+    pub fn set(&self, mode: Mode) {
+        self.lock().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    async fn handle(
+        self: Arc<Self>,
+        request: http::Request<body::Incoming>,
+    ) -> Option<http::Response<http_server::Body>> {
+        let target = request.uri().path_and_query()?.to_string();
+        let mode = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mode
+        };
+        match mode {
+            Mode::Proper => {}
+            Mode::Busy => return Some(http_server::answer(503, "busy")),
+            Mode::Away => return None,
+            Mode::Silent => std::future::pending().await,
+            Mode::Slow(span) => tokio::time::sleep(time::Duration::from_millis(span)).await,
+        }
+        match opposite::Call::parse(&target) {
+            Some(opposite::Call::List { after }) => Some(http_server::answer(200, self.page(after.as_deref()))),
+            Some(opposite::Call::Follow { after, wait_ms }) => self.follow(after, wait_ms).await,
+            None => Some(http_server::answer(404, "no such call")),
+        }
+    }
+
+    fn page(&self, after: Option<&str>) -> Vec<u8> {
+        let state = self.lock();
+        let mut keys: Vec<&CompactString> = state.items.keys().collect();
+        keys.sort_unstable();
+        keys.retain(|key| after.is_none_or(|after| key.as_str() > after));
+        let items = keys.iter().take(PAGE).map(|key| state.items[*key].clone()).collect();
+        opposite::page(&mirror::Page { items, has_more: keys.len() > PAGE, at: state.revision })
+    }
+
+    async fn follow(&self, after: u64, wait_ms: u64) -> Option<http::Response<http_server::Body>> {
+        let end = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.lock();
+                if state.mode == Mode::Away {
+                    return None;
+                }
+                if after < state.forgotten {
+                    return Some(http_server::answer(410, "that history is gone"));
+                }
+                if after < state.revision || tokio::time::Instant::now() >= end {
+                    let is_newer = |event: &&mirror::Event| match event {
+                        mirror::Event::Put(item) => item.revision > after,
+                        mirror::Event::Gone { revision, .. } => *revision > after,
+                    };
+                    let events: Vec<_> = state.log.iter().filter(is_newer).cloned().collect();
+                    return Some(http_server::answer(200, opposite::changes(&events, state.revision)));
+                }
+            }
+            // Whether it was a change or the end of the wait is looked at anew.
+            tokio::time::timeout_at(end, changed).await.ok();
+        }
+    }
+}
