Catch three guards that no test held, and judge the extra load over any span

Cause: three guards taken out by hand were caught by no test: a catalog of equal version and another digest, ejection without its ceiling, no confirmation after a pause. Change: a test for each of the three. The check of the stamp stood twice: whoever collects a catalog looks whether it is newer, and nothing changes before it is put in force; the second look, and a third that could not be reached, are gone (the invariant stays). The soak judges extra arrivals from any sample to any later one, and has a fault in which a whole service fails.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -437,7 +437,8 @@
         Some(reasons)
     }
 
-    /// Puts a collected manifest in force if it is newer and has no fault.
+    /// Puts a collected manifest in force if it has no fault. Whoever collects it has looked whether it
+    /// is newer, and what is in force changes here alone.
     fn try_adopt(&mut self, kind: catalog::Kind) -> bool {
         let shelf = &mut self.shelves[kind.index()];
         let Some(manifest) = shelf.pending.take() else {
@@ -448,9 +449,6 @@
             return false;
         }
         let stamp = manifest.stamp();
-        if stamp <= shelf.stamp && !mutant::is(mutant::Mutant::AcceptOlder) {
-            return false;
-        }
         if let Err(faults) = self.judge(kind, &manifest) {
             self.refuse(kind, stamp, faults);
             return false;
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -185,6 +185,7 @@
         }
     }
 
+    /// Makes a catalog of a copy that changed later than what is in force.
     fn rebuild_catalog(&mut self, kind: catalog::Kind) {
         let Some(kinds) = self.kinds() else {
             return;
@@ -200,7 +201,7 @@
         }
         let stamp = manifest.stamp();
         let shelf = &mut self.shelves[kind.index()];
-        if stamp <= shelf.stamp || shelf.refused == Some(stamp) {
+        if shelf.refused == Some(stamp) {
             return;
         }
         for (_, digest, text) in parts {
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -265,6 +265,12 @@
         self.publish(catalog::Kind::Config, &parts);
     }
 
+    /// Another text under the version that is out: what a tool does that does not count on.
+    pub fn publish_config_under_same_version(&mut self, change: u64) {
+        self.versions[catalog::Kind::Config.index()] -= 1;
+        self.publish_config(change);
+    }
+
     /// The list of hosts in parts of 100, without the hosts in `gone`.
     pub fn publish_hosts(&mut self, gone: &[usize]) {
         let mut parts = Vec::new();
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use shallothub_core::{
     clock, id,
-    traffic::{self, event, policy},
+    traffic::{self, event, note, policy},
     view,
 };
 
@@ -110,3 +110,79 @@
     }
     assert_eq!(codes, [(3, event::Outcome::NotRun, event::Code::Overloaded, true)]);
 }
+
+/// A host is stopped for five seconds, as virtual machines are. Its view may be old: the leaf may have
+/// left. A letter, which may run once only, waits for the view to be found fresh; its sender is told to
+/// come back. Lookups do not.
+#[test]
+fn a_host_that_wakes_takes_no_letters_before_its_view_is_confirmed() {
+    let mut core =
+        traffic::Core::new(policy::Policy::default(), traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
+    let mut letters = view::View::clone(&one_leaf::view(8));
+    letters.classes[0].idempotent = false;
+    core.step(clock::Millis(1), [event::Input::View(Arc::new(letters))]);
+    core.step(clock::Millis(2), [event::Input::Tick]);
+    let mut send = |now: u64, caller: u64, confirmed: bool| {
+        let key = Some(compact_str::format_compact!("letter-{caller}"));
+        let class = CompactString::const_new("ask");
+        let request = event::Request { caller: id::Caller(caller), class, patience: None, key, relayed: None };
+        let mut inputs = vec![event::Input::Request(request)];
+        if confirmed {
+            inputs.insert(0, event::Input::Revalidated);
+        }
+        let outputs = core.step(clock::Millis(now), inputs);
+        let sent = outputs.iter().any(|output| matches!(output, event::Output::Dispatch(_)));
+        let told = outputs.iter().find_map(|output| match output {
+            event::Output::Answer(answer) => Some((answer.outcome, answer.code, answer.retry_after.is_some())),
+            _ => None,
+        });
+        (sent, told)
+    };
+    let refused = Some((event::Outcome::NotRun, event::Code::Revalidating, true));
+    assert_eq!(send(5000, 1, false), (false, refused));
+    assert_eq!(send(5001, 2, false), (false, refused));
+    assert_eq!(send(5002, 3, true), (true, None));
+}
+
+/// All four leafs of a service fail for a while. If all were left out, the first to come back would get
+/// everything; so no more than half of them are out at once.
+#[test]
+fn no_more_than_half_of_the_leafs_are_left_out() {
+    let mut core =
+        traffic::Core::new(policy::Policy::default(), traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
+    let mut view = view::View::clone(&one_leaf::view(8));
+    let mut registry = view::Registry::default();
+    let mut replicas = Vec::new();
+    let mut servers = Vec::new();
+    for leaf in 0..4 {
+        let name = compact_str::format_compact!("leaf-{leaf}");
+        replicas.push(registry.intern(&name));
+        servers.push(Some(view::Server { name, ..view.servers[0].clone().expect("the leaf") }));
+    }
+    view.servers = servers;
+    view.classes[0].branches[0].targets[0].replicas = replicas;
+    core.step(clock::Millis(1), [event::Input::View(Arc::new(view))]);
+    let mut out_until = indexmap::IndexMap::<CompactString, clock::Millis>::new();
+    let mut most = 0;
+    let mut now = clock::Millis(2);
+    for caller in 1..2000 {
+        now = now + clock::Millis(10);
+        let class = CompactString::const_new("ask");
+        let request = event::Request { caller: id::Caller(caller), class, patience: None, key: None, relayed: None };
+        let mut outputs = core.step(now, [event::Input::Request(request)]);
+        while let Some(output) = outputs.pop() {
+            match output {
+                event::Output::Dispatch(dispatch) => {
+                    let reply = event::Reply::Failed;
+                    outputs.extend(core.step(now, [event::Input::Reply { attempt: dispatch.attempt, reply }]));
+                }
+                event::Output::Note(note::Note::Ejected { server, pause }) => {
+                    out_until.insert(server, now + pause);
+                    most = most.max(out_until.values().filter(|until| **until > now).count());
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(most, 2);
+}
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -5,7 +5,10 @@
 
 use mesh::Mesh;
 use rstest::rstest;
-use shallothub_core::{catalog, clock, control};
+use shallothub_core::{
+    catalog, clock,
+    control::{self, message},
+};
 
 /// Time after which every host must have a change while the platform is up, in ms.
 const CHANGE_MOST: u64 = 2000;
@@ -175,3 +178,57 @@
     mesh.run(60_000);
     assert!(mesh.watches - watches > 4 * 2 * 7);
 }
+
+/// An operator's script publishes twice under one version, while the data centres are parted. Each half
+/// has another text in force and calls it version 2. When they meet again all must have the same one, and
+/// nobody may go back and forth between the two with every message.
+#[rstest]
+#[case(100)]
+#[case(200)]
+#[case(300)]
+#[case(400)]
+fn two_texts_under_one_version_end_as_one(#[case] change: u64) {
+    let mut mesh = mesh(8, 2);
+    for from in 0..8 {
+        for to in 0..8 {
+            if from % 2 != to % 2 {
+                mesh.cut.insert((from, to));
+            }
+        }
+    }
+    mesh.cut_platform.extend((0..8).filter(|host| host % 2 == 1));
+    mesh.publish_config(change);
+    mesh.run(3000);
+    mesh.cut_platform = (0..8).filter(|host| host % 2 == 0).collect();
+    mesh.publish_config_under_same_version(change + 1);
+    mesh.run(20_000);
+    let stamps = |mesh: &Mesh| -> Vec<_> {
+        mesh.hosts.iter().map(|host| host.in_force[catalog::Kind::Config.index()]).collect()
+    };
+    let parted = stamps(&mesh);
+    assert_eq!((parted[0].version, parted[1].version), (2, 2));
+    assert_ne!(parted[0].digest, parted[1].digest);
+    // What each half has, as one message that was on its way for long.
+    let mut whole = |host: usize| {
+        let ask = message::Ask { kind: catalog::Kind::Config, have: Vec::new() };
+        let body = message::Body::Ask(ask);
+        let message = message::Message { protocol: message::PROTOCOL, from: mesh::peer(host ^ 1), body };
+        let outputs = mesh.hosts[host].core.step(mesh.now, [control::Input::Peer(message)]);
+        let update = outputs.into_iter().find_map(|output| match output {
+            control::Output::Send { message, .. } => Some(message),
+            _ => None,
+        });
+        update.expect("a catalog")
+    };
+    for (host, message) in [(1, whole(0)), (0, whole(1))] {
+        let before = parted[host];
+        mesh.hosts[host].core.step(mesh.now, [control::Input::Peer(message)]);
+        assert_eq!(mesh.hosts[host].core.stamp(catalog::Kind::Config), before.max(parted[host ^ 1]));
+    }
+    mesh.cut.clear();
+    mesh.cut_platform.clear();
+    mesh.run(20_000);
+    let met = stamps(&mesh);
+    assert!(met.iter().all(|stamp| *stamp == met[0]), "{met:?}");
+    assert!(mesh.hosts.iter().all(|host| host.reverts == 0));
+}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -30,6 +30,8 @@
     LeafReset(usize),
     /// A leaf misbehaves now and then.
     LeafManner(usize, replica::Manner),
+    /// All leafs of a leaf's service fail each request.
+    ServiceFails(usize),
     /// A leaf is slow.
     LeafSlow(usize),
     /// A leaf says that it leaves, and goes; another one comes.
@@ -77,7 +79,8 @@
             23..26 => Self::HangUp(node),
             26..38 => Self::LeafWay(leaf, way),
             38..44 => Self::LeafReset(leaf),
-            44..60 => Self::LeafManner(leaf, MANNERS[random.random_range(0..MANNERS.len())]),
+            44..57 => Self::LeafManner(leaf, MANNERS[random.random_range(0..MANNERS.len())]),
+            57..60 => Self::ServiceFails(leaf),
             60..66 => Self::LeafSlow(leaf),
             66..74 => Self::LeafLeaves(leaf),
             74..78 => Self::LeafCrash(leaf),
@@ -151,6 +154,11 @@
                 knobs.manner = manner;
                 knobs.one_in = 3;
             }),
+            Fault::ServiceFails(leaf) => {
+                for leaf in service_of(deployment, leaf) {
+                    leaf.replica.set(|knobs| knobs.manner = replica::Manner::Failing);
+                }
+            }
             Fault::LeafSlow(leaf) => deployment.leafs[leaf].replica.set(|knobs| knobs.work_ms = 120),
             Fault::LeafLeaves(leaf) => {
                 deployment.leafs[leaf].entry.leaving = true;
@@ -188,6 +196,11 @@
             Fault::LeafManner(leaf, _) | Fault::LeafSlow(leaf) => {
                 deployment.leafs[leaf].replica.set(|knobs| *knobs = replica::Knobs::default());
             }
+            Fault::ServiceFails(leaf) => {
+                for leaf in service_of(deployment, leaf) {
+                    leaf.replica.set(|knobs| *knobs = replica::Knobs::default());
+                }
+            }
             Fault::Store(_) => deployment.registry.set(registry::Mode::Proper),
             Fault::StoreWay(_) => {
                 deployment.registry_proxy.set(proxy::Way::Open);
@@ -243,6 +256,12 @@
     }
 }
 
+/// The leafs of the service of a leaf.
+fn service_of(deployment: &Deployment, leaf: usize) -> impl Iterator<Item = &deployment::Leaf> {
+    let service = deployment.leafs[leaf].entry.service.clone();
+    deployment.leafs.iter().filter(move |other| other.entry.service == service)
+}
+
 async fn restart(deployment: &mut Deployment, node: usize) {
     deployment.wait_end(node).await;
     if let Err(error) = deployment.restart_node(node) {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -46,6 +46,10 @@
     sets: IndexSet<Vec<CompactString>>,
     /// The newest set that each process served, and when.
     newest: IndexMap<net::SocketAddr, (usize, Duration)>,
+    /// Extra arrivals at each service, less the allowed part of its requests; the least there was.
+    least_extra: IndexMap<CompactString, f64>,
+    /// Services whose bound did not hold.
+    over: IndexSet<CompactString>,
     breaches: Vec<String>,
 }
 
@@ -106,18 +110,35 @@
         }
     }
 
+    /// Holds the extra arrivals at each service against their bound, which is for any span of time: from
+    /// each earlier call to this one.
+    pub fn judge_extra(&mut self, deployment: &Deployment) {
+        let mut arrivals: IndexMap<CompactString, (u64, IndexSet<CompactString>)> = IndexMap::new();
+        for leaf in &deployment.leafs {
+            let ledger = leaf.replica.ledger();
+            let row = arrivals.entry(leaf.replica.service.clone()).or_default();
+            row.0 += ledger.refused + ledger.runs.values().map(|count| u64::from(*count)).sum::<u64>();
+            row.1.extend(ledger.runs.into_keys());
+        }
+        for (service, (count, names)) in arrivals {
+            let extra = count as f64 - names.len() as f64 * (1.0 + EXTRA_RATIO);
+            let least = self.least_extra.entry(service.clone()).or_insert(0.0);
+            *least = least.min(extra);
+            let grown = extra - *least;
+            if grown > EXTRA_SLACK && self.over.insert(service.clone()) {
+                self.breach("bounded_extra_load", format!("{service}: {grown:.0} more than its part of requests"));
+            }
+        }
+    }
+
     /// What only the ledgers tell, at the end.
     pub fn judge_ledgers(&mut self, deployment: &Deployment) {
+        self.judge_extra(deployment);
         let mut runs: IndexMap<CompactString, u32> = IndexMap::new();
-        let mut arrivals: IndexMap<CompactString, (u64, IndexSet<CompactString>)> = IndexMap::new();
         for leaf in &deployment.leafs {
             let ledger = leaf.replica.ledger();
             self.judge_ledger(&leaf.replica.id, &ledger);
-            let row = arrivals.entry(leaf.replica.service.clone()).or_default();
-            row.0 += ledger.refused;
             for (name, count) in ledger.runs {
-                row.0 += u64::from(count);
-                row.1.insert(name.clone());
                 *runs.entry(name).or_default() += count;
             }
         }
@@ -132,13 +153,6 @@
             }
             self.rows.push(row);
         }
-        for (service, (count, names)) in arrivals {
-            let extra = count.saturating_sub(names.len() as u64) as f64;
-            let bound = EXTRA_RATIO * names.len() as f64 + EXTRA_SLACK;
-            if extra > bound {
-                self.breach("bounded_extra_load", format!("{service}: {extra} extra arrivals, {bound:.0} allowed"));
-            }
-        }
     }
 
     fn judge_ledger(&mut self, id: &str, ledger: &replica::Ledger) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -183,6 +183,7 @@
             seen.judge().note_set(set(deployment));
         }
         tokio::time::sleep(pause).await;
+        seen.judge().judge_extra(deployment);
         let now = seen.now();
         mend_due(&mut injector, deployment, seen, now).await;
         *addresses.lock().unwrap_or_else(PoisonError::into_inner) = self::addresses(deployment);
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,29 @@
+//! A short part of the fault soak, with fixed seeds. `scripts/soak-nodes` runs more.
+
+use std::{path, time::Duration};
+
+use rstest::rstest;
+use shallothub_soak::{deployment::Size, run};
+
+/// Some seeds whose first faults are of many kinds, and each seed that once showed a breach.
+#[rstest]
+#[case::leafs_misbehave_and_hosts_die(3)]
+#[case::the_index_is_cut_anew_beside_a_bad_store(5)]
+// A kill in the first millisecond counted as none, so that the requests it cut seemed cut by nothing.
+#[case::kill_at_once(115)]
+#[case::kill_all_at_once(210)]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_faults(#[case] seed: u64) {
+    let plan = run::Plan {
+        program: env!("CARGO_BIN_EXE_shallothub").into(),
+        directory: path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
+        seed,
+        span: Duration::from_secs(5),
+        size: Size { nodes: 3, shards: 6, replicas: 2 },
+        clients: 2,
+        extra: String::new(),
+    };
+    println!("seed {seed}");
+    let verdict = run::run(&plan).await.expect("a run");
+    assert_eq!(verdict.breaches, Vec::<String>::new(), "faults {:?}, ends {:?}", verdict.faults, verdict.ends);
+}
