Begin a new split anywhere in its round, and check more settings

Cause: a test of low rates was red: every host that started gave its first requests to the branch with most weight, so of a hundred hosts with one request each none went to a branch of a fifth, and runs were up to two requests off their parts. Ruled out: the turns themselves (smooth weighted round robin is within one request for two branches). Change: a new split goes through a random number of turns, at most a thousand, before its first. A host given as a number of six groups ("[::1]") without a port finds its routes.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -28,7 +28,10 @@
     /// The class of the route that `host` and `path` select. A port after the host is ignored, and
     /// so is the query after the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&CompactString> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = match host.rsplit_once(':') {
+            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) && !name.ends_with(':') => name,
+            _ => host,
+        };
         let prefixes = match self.hosts.get(name) {
             Some(prefixes) => prefixes,
             None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
@@ -67,9 +70,14 @@
     pub idle: clock::Millis,
 }
 
-/// Distributes requests over weighted branches, so that after any number of requests each branch is
-/// within one request of its part. Random choice would need hundreds of requests to come as near,
-/// and a host with one request a second never sees that many between two changes.
+/// Turns among which a new split's first one is drawn. A branch with a weight of one in a thousand still
+/// has one of them, and going through them costs some microseconds once for each change of weights.
+const ROUND: f64 = 1000.0;
+
+/// Distributes requests over weighted branches, so that over any run of requests each of two branches
+/// is within one request of its part, and each of more within two. Random choice would need hundreds of
+/// requests to come as near, and a host with one request a second never sees that many between two
+/// changes.
 ///
 /// Smooth weighted round robin: each branch gains its weight, and the one with most loses the sum.
 #[derive(Clone, Debug, Default)]
@@ -79,15 +87,20 @@
 }
 
 impl Split {
-    /// The branch for the next request; `start` (0 to 1) places a new split in its cycle, so that
+    /// The branch for the next request; `start` (0 to 1) is where in its round a new split begins, so that
     /// many hosts at low rates do not all begin with the same branch.
     pub fn next(&mut self, weights: impl Iterator<Item = f64> + Clone, start: f64) -> usize {
         if !self.weights.iter().copied().eq(weights.clone()) {
             self.weights = weights.collect();
-            self.credits = self.weights.clone();
-            let total: f64 = self.weights.iter().sum();
-            self.advance(start * total);
+            self.credits = vec![0.0; self.weights.len()];
+            for _ in 0..(start * ROUND) as u32 {
+                self.turn();
+            }
         }
+        self.turn()
+    }
+
+    fn turn(&mut self) -> usize {
         let total: f64 = self.weights.iter().sum();
         let mut best = 0;
         for (branch, weight) in self.weights.iter().enumerate() {
@@ -99,17 +112,4 @@
         self.credits[best] -= total;
         best
     }
-
-    /// Gives the branch in which the point `at` of the cycle lies its turn in advance.
-    fn advance(&mut self, at: f64) {
-        let total: f64 = self.weights.iter().sum();
-        let mut passed = 0.0;
-        for branch in 0..self.weights.len() {
-            passed += self.weights[branch];
-            if at < passed {
-                self.credits[branch] -= total;
-                return;
-            }
-        }
-    }
 }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -123,6 +123,10 @@
     clock::Millis(10_000)
 }
 
+/// Least descriptors of a process: listeners, links to hosts and the platform, logs, and some
+/// connections on either side.
+const DESCRIPTORS_LEAST: u32 = 64;
+
 /// Reads and checks settings; `document` names the file in faults.
 pub fn read(document: &str, text: &str) -> Result<Settings, Vec<plan::Fault>> {
     let settings: Settings = yaml::read(document, text)?;
@@ -171,6 +175,13 @@
     if settings.traffic.fleet.is_some_and(|fleet| fleet.ratio < 0.0 || fleet.slack < 0.0) {
         fault("a bound under `traffic.fleet` is negative", "set `ratio` and `slack` to 0 or more");
     }
+    let is_quantile = |quantile: f64| quantile > 0.0 && quantile < 1.0;
+    if !is_quantile(settings.traffic.hedge_quantile) || !is_quantile(settings.traffic.silence_quantile) {
+        fault("`traffic.hedge_quantile` or `silence_quantile` is no quantile", "set it between 0 and 1");
+    }
+    if settings.descriptors < DESCRIPTORS_LEAST {
+        fault("`descriptors` is below 64", "give the process 64 or more");
+    }
     if settings.traffic.score_band < 1.0 {
         fault("`traffic.score_band` is below 1", "set it to 1 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -86,6 +86,44 @@
     assert_eq!((faults[0].place.line, faults[0].problem.contains("lissten")), (2, true), "{}", faults[0]);
 }
 
+/// Each setting out of its range has its own fault, with what to write instead.
+#[rstest]
+#[case::readiness("interface: platform", "`ready` is missing")]
+#[case::interface("interface: theirs", "unknown variant `theirs`")]
+#[case::processor("processor: 0", "`processor` is not above 0")]
+#[case::taken("admin: \"127.0.0.1:1\"", "is an address that is taken")]
+#[case::twice("admin: \"127.0.0.1:3\"\nrelay: \"127.0.0.1:3\"", "is an address that is taken")]
+#[case::descriptors("descriptors: 12", "`descriptors` is below 64")]
+#[case::budget("traffic: {retry_fraction: -0.1}", "is negative")]
+#[case::bound("traffic: {fleet: {ratio: 0.2, slack: -1}}", "`traffic.fleet` is negative")]
+#[case::band("traffic: {score_band: 0.5}", "`traffic.score_band` is below 1")]
+#[case::quantile("traffic: {hedge_quantile: 1.2}", "is no quantile")]
+#[case::silence("traffic: {silence_quantile: 0}", "is no quantile")]
+#[case::watchers("control: {watchers: 0}", "no watchers")]
+fn a_setting_out_of_range_has_a_remedy(#[case] line: &str, #[case] problem: &str) {
+    let text = format!(
+        "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n{line}\n"
+    );
+    let faults = node::read("node.yaml", &text).expect_err("a fault");
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(faults[0].problem.contains(problem), "{}", faults[0]);
+    assert!(!faults[0].remedy.is_empty(), "{}", faults[0]);
+}
+
+/// Another program's writer turns whole numbers into fractions.
+#[rstest]
+#[case("balancer_lag_ms: 2600.0", 2600)]
+#[case("balancer_lag_ms: 2600.4", 2600)]
+#[case("balancer_lag_ms: 2600", 2600)]
+fn a_span_may_be_written_with_a_fraction(#[case] line: &str, #[case] span: u64) {
+    let text = format!(
+        "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n{line}\n"
+    );
+    assert_eq!(node::read("node.yaml", &text).expect("settings").balancer_lag_ms.0, span);
+    let faults = node::read("node.yaml", &text.replace(": 26", ": -26")).expect_err("a fault");
+    assert!(faults[0].problem.contains("0 or more"), "{}", faults[0]);
+}
+
 /// The examples that the pages point to are right.
 #[rstest]
 #[case::bangkok(include_str!("../../../examples/bangkok/node.yaml"))]
