End idle callers' connections before descriptors run out, and go on saying that a restart is needed

Cause: connections to servers were bounded by the descriptors, callers' were not: sixty silent ones on a node of a hundred stayed until their idle time was over, and left nothing for servers. And settings that need a restart were taken as in force after the first reading, so that the second said otherwise. Ruled out: taking no new connections while there are too many: a caller in the backlog has no answer, and a refusal at once is better. Change: beyond three tenths of the descriptors, connections idle for a second or more are ended, the longest idle first. What a running node took over is remembered apart.

--- a/crates/node/src/lane/accept.rs
+++ b/crates/node/src/lane/accept.rs
@@ -69,6 +69,7 @@
         return;
     };
     while let Some((stream, address)) = accept(&shell, &listener).await {
+        shell.end_idle_links();
         let wanted = self::head_wait(&shell);
         if wanted != head_wait {
             head_wait = wanted;
--- a/crates/node/src/lane/link.rs
+++ b/crates/node/src/lane/link.rs
@@ -16,7 +16,7 @@
 use bytes::{Buf, BytesMut};
 use indexmap::IndexMap;
 use shallothub_core::clock;
-use tokio::time::sleep;
+use tokio::{sync::Notify, time::sleep};
 use xitca_io::{
     io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut},
     net::TcpStream,
@@ -35,6 +35,12 @@
 const AHEAD_MOST: usize = 64 << 10;
 /// Longest time that an idle connection is kept when the configuration does not say.
 const IDLE: clock::Millis = clock::Millis(15_000);
+/// Part of the process's descriptors that connections of callers and hosts should take at most; beyond
+/// it idle ones are ended. Servers have twice as much, and the rest needs little.
+const DESCRIPTORS_PART: f64 = 0.3;
+/// Least time that a connection is idle before it is ended to make room. A caller that has just connected
+/// or had an answer may be about to send.
+const IDLE_LEAST: clock::Millis = clock::Millis(1000);
 
 /// See the module. Clones are the same link.
 #[derive(Clone)]
@@ -45,6 +51,8 @@
     shell: Rc<Shell>,
     address: net::SocketAddr,
     state: RefCell<State>,
+    /// Told when an idle connection shall end.
+    ending: Notify,
 }
 
 struct State {
@@ -129,6 +137,10 @@
                     }
                 }
                 () = closing => {}
+                () = self.0.ending.notified() => {
+                    self.0.state.borrow_mut().is_ended = true;
+                    return Ok(());
+                }
             }
         }
     }
@@ -207,7 +219,7 @@
             is_closed: false,
             idle_since: shell.now(),
         };
-        let inner = Rc::new(Inner { stream, shell, address, state: RefCell::new(state) });
+        let inner = Rc::new(Inner { stream, shell, address, state: RefCell::new(state), ending: Notify::new() });
         self.0.links.borrow_mut().insert(address, Rc::downgrade(&inner));
         Ok(Link(inner))
     }
@@ -218,6 +230,33 @@
     pub(super) fn link(&self, address: net::SocketAddr) -> Option<Link> {
         self.links.borrow().get(&address)?.upgrade().map(Link)
     }
+
+    /// Ends connections that have been idle for longest if there are more than should be. Busy ones stay
+    /// however many they are: a refusal at once is better than a connection that is not taken.
+    pub(super) fn end_idle_links(&self) {
+        let lanes = self.shared.lanes.len().max(1);
+        let most = (f64::from(self.shared.settings.descriptors) * DESCRIPTORS_PART) as usize / lanes;
+        let links = self.links.borrow();
+        let surplus = links.len().saturating_sub(most);
+        if surplus == 0 {
+            return;
+        }
+        let now = self.now();
+        let mut idle = Vec::new();
+        for inner in links.values().filter_map(Weak::upgrade) {
+            let (is_busy, since) = {
+                let state = inner.state.borrow();
+                (state.is_busy || state.is_ended, state.idle_since)
+            };
+            if !is_busy && now.since(since) >= IDLE_LEAST {
+                idle.push((since, inner));
+            }
+        }
+        idle.sort_by_key(|(since, _)| *since);
+        for (_, inner) in idle.into_iter().take(surplus) {
+            inner.ending.notify_one();
+        }
+    }
 }
 
 /// Connections by the caller's address.
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -53,7 +53,8 @@
         self.shared.control.send(shared::ToControl::Seeds(seeds)).ok();
         let needs_restart = self.needs_restart(&settings);
         tracing::info!(cause, filter = %settings.log, seeds = settings.seeds.len(), needs_restart, "settings read again");
-        self.in_force = settings;
+        self.in_force.log = settings.log;
+        self.in_force.seeds = settings.seeds;
     }
 
     /// Whether anything else differs from what is in force.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -59,8 +59,11 @@
     pub admin: net::SocketAddr,
     /// Where it hears other nodes.
     pub peer: net::SocketAddr,
+    /// Its settings file.
+    pub settings: path::PathBuf,
+    /// The file of its log lines, without the first.
+    pub log: path::PathBuf,
     child: process::Child,
-    settings: path::PathBuf,
 }
 
 /// Everything together.
@@ -202,16 +205,17 @@
             let text = line[field].as_str().unwrap_or_default();
             text.parse().map_err(|_| std::io::Error::other(format!("no address `{field}` in {line}")))
         };
+        let log = self.directory.join(format!("{name}-{}.log", child.id()));
         let node = Node {
             listen: address("listen")?,
             ready: address("ready")?,
             admin: address("admin")?,
             peer: address("peer")?,
             name,
-            child,
             settings,
+            log: log.clone(),
+            child,
         };
-        let log = self.directory.join(format!("{}-{}.log", node.name, node.child.id()));
         // Whoever does not read the output would stop the node once the pipe is full.
         std::thread::spawn(move || {
             let mut file = std::fs::File::create(log).ok();
@@ -252,6 +256,12 @@
         }
     }
 
+    /// Descriptors that a node's process has open.
+    pub fn descriptors(&self, place: usize) -> usize {
+        let entries = std::fs::read_dir(format!("/proc/{}/fd", self.nodes[place].child.id()));
+        entries.map_or(0, |entries| entries.count())
+    }
+
     /// Whether a node's process runs.
     pub fn is_running(&mut self, place: usize) -> bool {
         matches!(self.nodes[place].child.try_wait(), Ok(None))
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -336,3 +336,66 @@
     assert_eq!(served(&client.ask(Kind::Write, "w").await), 1);
     assert_eq!(runs(&deployment, "w"), 1);
 }
+
+/// The line of a node's log with `message` that is its `number`-th, as JSON.
+async fn line(deployment: &Deployment, message: &str, number: usize) -> serde_json::Value {
+    loop {
+        let text = std::fs::read_to_string(&deployment.nodes[0].log).unwrap_or_default();
+        let mut lines = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+        if let Some(line) = lines.by_ref().filter(|line| line["message"] == message).nth(number) {
+            return line;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Somebody edits a running node's settings, first with a slip. The slip changes nothing; then what can
+/// change does, and for the rest the log says each time, until it is restarted, that it needs that.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_read_again_on_a_signal() {
+    let deployment = started("read-again", 1).await;
+    let path = deployment.nodes[0].settings.clone();
+    let text = std::fs::read_to_string(&path).expect("settings");
+    std::fs::write(&path, format!("{text}\nprocesor: 0.5\n")).expect("written");
+    deployment.signal(0, Signal::SIGHUP);
+    let faults = line(&deployment, "the settings have faults; the old ones stay in force", 0).await;
+    assert!(faults["detail"].to_string().contains("procesor"), "{faults}");
+    std::fs::write(&path, format!("{text}\nprocessor: 0.5\nlog: debug\n")).expect("written");
+    for number in 0..2 {
+        deployment.signal(0, Signal::SIGHUP);
+        let again = line(&deployment, "settings read again", number).await;
+        assert_eq!((&again["filter"], &again["needs_restart"]), (&"debug".into(), &true.into()), "{again}");
+    }
+    std::fs::write(&path, format!("{text}\nlog: debug\n")).expect("written");
+    // Nobody says a word: the file's time of change is looked at.
+    let again = line(&deployment, "settings read again", 2).await;
+    assert_eq!((&again["cause"], &again["needs_restart"]), (&"the file changed".into(), &false.into()), "{again}");
+    assert_eq!(served(&client(&deployment, 0).ask(Kind::Gather, "g").await), 4);
+}
+
+/// Somebody opens many connections and sends nothing. A node that may open few descriptors ends those
+/// that were idle for longest, so that callers who ask are still served.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_do_not_use_up_the_descriptors() {
+    let mut deployment = started("descriptors", 0).await;
+    deployment.extra = "descriptors: 100\n".to_owned();
+    let node = deployment.start_node().expect("a node");
+    assert!(deployment.wait_ready(node).await);
+    let address = deployment.nodes[node].listen;
+    let idle: Vec<_> = (0..60).map(|_| net::TcpStream::connect(address).expect("a connection")).collect();
+    while deployment.descriptors(node) < 60 {
+        tokio::time::sleep(LOOK).await;
+    }
+    let mut clients = Vec::new();
+    // Each new connection looks for idle ones, which have to be so for a while.
+    // A part of the descriptors is the node's own.
+    while deployment.descriptors(node) > 70 || clients.is_empty() {
+        assert!(clients.len() < 200, "{} descriptors", deployment.descriptors(node));
+        let mut client = client(&deployment, node);
+        let end = client.ask(Kind::Read, &format!("d{}", clients.len())).await;
+        assert_eq!(served(&end), 1, "{end:?}");
+        clients.push(client);
+        tokio::time::sleep(LOOK * 10).await;
+    }
+    drop(idle);
+}
