Say in each failed answer's line what decided it, and by which versions

Change: every answer of the core that is not whole carries a typed reason: closed shards with the state of each server, the queue and its expected wait, the time that is missing, the pause, or the servers that were silent and since when. The line of the answer has it as `why`, with the stamps of the configuration and of the list of servers. Ruled out: a line of its own for each reason: under overload it would double the log. Measured: a_failed_request_is_explained_by_its_lines, red before (no why), green after.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -7,7 +7,7 @@
 
 use crate::{clock, id, mutant, view};
 
-use super::{class, event, key, query, timer::Timer};
+use super::{class, event, key, query, timer::Timer, why};
 
 /// Longest that a request which is not idempotent is refused after a pause without confirmation.
 const CONFIRM_MOST: clock::Millis = clock::Millis(5000);
@@ -28,33 +28,36 @@
 impl super::Core {
     pub(super) fn on_request(&mut self, request: event::Request) {
         if self.view.stamp == view::Stamp::default() {
-            self.refuse(&request, event::Code::Starting, Some(START_AFTER));
+            self.refuse(&request, event::Code::Starting, Some(START_AFTER), why::Why::Plain);
             return;
         }
         let view = Arc::clone(&self.view);
         let Some((selector, _, class)) = view.classes.get_full(&request.class) else {
-            self.refuse(&request, event::Code::UnknownClass, None);
+            self.refuse(&request, event::Code::UnknownClass, None, why::Why::Plain);
             return;
         };
         let patience = request.patience.unwrap_or(class.deadline).min(class.deadline);
         if patience <= self.policy.margin {
-            self.refuse(&request, event::Code::DeadlinePassed, None);
+            self.refuse(&request, event::Code::DeadlinePassed, None, why::Why::Late { patience });
             return;
         }
         let row = self.class_row(&request.class);
         let branch = self.pick_branch(row, class);
         let is_passed_on = request.relayed.is_none() && self.may_pass_on(class);
         if !is_passed_on && !self.is_reachable(class, branch) {
-            self.refuse(&request, event::Code::NoReplica, Some(NO_REPLICA_AFTER));
+            let why = self.closed(class, branch);
+            self.refuse(&request, event::Code::NoReplica, Some(NO_REPLICA_AFTER), why);
             return;
         }
         let idempotent = class.idempotent;
         if !idempotent && self.is_unconfirmed() {
-            self.refuse(&request, event::Code::Revalidating, Some(self.policy.revalidate_grace));
+            let why = self.paused();
+            self.refuse(&request, event::Code::Revalidating, Some(self.policy.revalidate_grace), why);
             return;
         }
-        if let Some(retry_after) = self.overload(row, patience) {
-            self.refuse(&request, event::Code::Overloaded, Some(retry_after));
+        if let Some(why) = self.overload(row, patience) {
+            let retry_after = self.classes[row].retry_after();
+            self.refuse(&request, event::Code::Overloaded, Some(retry_after), why);
             return;
         }
         let settle_at = match request.relayed {
@@ -62,9 +65,9 @@
             None => class.aim.map(|aim| self.now + self.time_to_aim(row, aim, request.patience)),
         };
         if let Some(settle_at) = settle_at.filter(|_| !is_passed_on)
-            && let Some(retry_after) = self.lacks_room(row, class, branch, settle_at.since(self.now))
+            && let Some((retry_after, why)) = self.lacks_room(row, class, branch, settle_at.since(self.now))
         {
-            self.refuse(&request, event::Code::Overloaded, Some(retry_after));
+            self.refuse(&request, event::Code::Overloaded, Some(retry_after), why);
             return;
         }
         if !idempotent {
@@ -76,7 +79,7 @@
                 }
                 key::Claim::Full => {
                     let retry_after = self.policy.key_window;
-                    self.refuse(&request, event::Code::Overloaded, Some(retry_after));
+                    self.refuse(&request, event::Code::Overloaded, Some(retry_after), why::Why::Plain);
                     return;
                 }
             }
@@ -155,6 +158,34 @@
         open > 0 && class.least_coverage.is_met(open, targets.len())
     }
 
+    /// Which shards have no server that takes new work, and what keeps each of their servers from it.
+    fn closed(&self, class: &view::Class, branch: usize) -> why::Why {
+        let targets = class.branches.get(branch).map_or(&[][..], |branch| &branch.targets);
+        let mut closed = Vec::new();
+        for target in targets {
+            let mut servers = Vec::new();
+            for &id in &target.replicas {
+                let state = &self.servers[id.index()];
+                let word = match self.view.server(id) {
+                    None => "is gone",
+                    Some(server) if server.leaving => "is leaving",
+                    Some(_) if state.is_replaced => "is another one now",
+                    Some(_) if state.share == 0 => "has no connection for this host",
+                    Some(_) => continue,
+                };
+                servers.push((self.server_name(id), word));
+            }
+            if servers.len() == target.replicas.len() {
+                closed.push(why::Closed { shard: target.shard.clone(), servers });
+            }
+        }
+        why::Why::Closed { open: targets.len() - closed.len(), shards: targets.len(), closed }
+    }
+
+    fn paused(&self) -> why::Why {
+        why::Why::Paused { ago: self.paused_at.map_or(clock::Millis::ZERO, |at| self.now.since(at)) }
+    }
+
     fn class_row(&mut self, name: &CompactString) -> usize {
         if let Some(row) = self.classes.get_index_of(name) {
             return row;
@@ -163,8 +194,8 @@
         self.classes.insert_full(name.clone(), class).0
     }
 
-    /// The time to come back, if the class could not serve one more request within `patience`.
-    fn overload(&self, row: usize, patience: clock::Millis) -> Option<clock::Millis> {
+    /// Why the class could not serve one more request within `patience`, if it could not.
+    fn overload(&self, row: usize, patience: clock::Millis) -> Option<why::Why> {
         let class = &self.classes[row];
         if class.queue.is_empty() && class.has_room(&self.policy) {
             return None;
@@ -172,10 +203,13 @@
         let is_full = class.queue.len() >= self.policy.queue_ceiling as usize;
         let wait = class.expected_wait();
         let is_long = wait > patience.scale(self.policy.queue_share.get());
-        if is_full || is_long || wait + class.slow_run() + self.policy.margin >= patience {
-            return Some(class.retry_after());
+        let run = class.slow_run();
+        if !is_full && !is_long && wait + run + self.policy.margin < patience {
+            return None;
         }
-        None
+        let (running, waiting) = (class.running, class.queue.len());
+        let limit = if self.policy.adaptive_admission { class.limit() } else { self.policy.running_ceiling };
+        Some(why::Why::Queue { running, limit, waiting, wait, run, patience })
     }
 
     fn claim(&mut self, request: &event::Request) -> key::Claim {
@@ -219,11 +253,14 @@
         let has_waited = row.arrived < now;
         if has_waited && row.deadline <= now + self.classes[class].typical_run() {
             let retry_after = self.classes[class].retry_after();
-            self.finish_unanswered(query, event::Code::Overloaded, Some(retry_after));
+            let (wait, left) = (now.since(row.arrived), row.deadline.since(now));
+            let why = why::Why::Waited { wait, run: self.classes[class].typical_run(), left };
+            self.finish_because(query, event::Code::Overloaded, Some(retry_after), why);
             return;
         }
         if !row.selector().idempotent && self.is_unconfirmed() {
-            self.finish_unanswered(query, event::Code::Revalidating, Some(self.policy.revalidate_grace));
+            let why = self.paused();
+            self.finish_because(query, event::Code::Revalidating, Some(self.policy.revalidate_grace), why);
             return;
         }
         self.classes[class].running += 1;
@@ -291,14 +328,20 @@
         self.paused_at.is_some_and(|at| self.now.since(at) < CONFIRM_MOST)
     }
 
-    fn refuse(&mut self, request: &event::Request, code: event::Code, retry_after: Option<clock::Millis>) {
-        self.refuse_with(request, code, event::Outcome::NotRun, retry_after);
+    fn refuse(
+        &mut self,
+        request: &event::Request,
+        code: event::Code,
+        retry_after: Option<clock::Millis>,
+        why: why::Why,
+    ) {
+        self.refuse_with(request, code, event::Outcome::NotRun, retry_after, why);
     }
 
     /// The request itself was not run, but the one before it with this key was or may have been,
     /// so the caller must not conclude that nothing ran.
     fn refuse_duplicate(&mut self, request: &event::Request) {
-        self.refuse_with(request, event::Code::DuplicateKey, event::Outcome::Unknown, None);
+        self.refuse_with(request, event::Code::DuplicateKey, event::Outcome::Unknown, None, why::Why::Plain);
     }
 
     fn refuse_with(
@@ -307,6 +350,7 @@
         code: event::Code,
         outcome: event::Outcome,
         retry_after: Option<clock::Millis>,
+        why: why::Why,
     ) {
         self.outputs.push(event::Output::Answer(event::Answer {
             caller: request.caller,
@@ -314,6 +358,7 @@
             class: request.class.clone(),
             outcome,
             code,
+            why,
             snapshot: None,
             contributed: Vec::new(),
             missing: Vec::new(),
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -7,7 +7,7 @@
 
 use crate::{clock, id, invariant, view};
 
-use super::note;
+use super::{note, why};
 
 /// Something that happened outside.
 #[derive(Clone, Debug)]
@@ -287,6 +287,8 @@
     pub outcome: Outcome,
     /// Why.
     pub code: Code,
+    /// What decided it, for the log.
+    pub why: why::Why,
     /// The one snapshot of all parts; `None` unless answered.
     pub snapshot: Option<view::Snapshot>,
     /// The shards in the answer, each with the attempt whose body is its part.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use crate::{clock, id, invariant, mutant, view};
+use crate::{clock, id, view};
 
-use super::{event, note, query, server, summary, timer::Timer};
+use super::{event, note, query, server, timer::Timer};
 
 /// Most times that a query begins anew because the shards were cut anew.
 const RESTARTS: u8 = 2;
 /// When to come back after an answer that lacked shards.
-const COME_BACK: clock::Millis = clock::Millis(250);
+pub(super) const COME_BACK: clock::Millis = clock::Millis(250);
 
 impl super::Core {
     pub(super) fn on_reply(&mut self, attempt: id::Attempt, reply: event::Reply) {
@@ -92,7 +92,7 @@
 
     /// Nobody needs the attempt any more. It may run on for a while, since ending it costs its
     /// connection.
-    fn give_up(&mut self, attempt: id::Attempt) {
+    pub(super) fn give_up(&mut self, attempt: id::Attempt) {
         if self.policy.linger == clock::Millis::ZERO {
             self.cancel(attempt);
             return;
@@ -425,163 +425,6 @@
         self.finish_unanswered(query, code, Some(retry_after.max(COME_BACK)));
     }
 
-    fn finish_answered(&mut self, query: id::Query) {
-        let Some(row) = self.queries.get(query.0) else {
-            return;
-        };
-        let Some(best) = row.best() else {
-            return;
-        };
-        let mut contributed = Vec::with_capacity(best.shards);
-        let mut missing = Vec::new();
-        let mut is_one_snapshot = true;
-        for (part, target) in row.parts.iter().zip(row.targets()) {
-            let got = if mutant::is(mutant::Mutant::MixSnapshots) { part.got[0] } else { part.of(best.snapshot) };
-            let Some(got) = got else {
-                missing.push(target.shard.clone());
-                continue;
-            };
-            is_one_snapshot &= got.snapshot == best.snapshot;
-            contributed.push((target.shard.clone(), got.attempt));
-        }
-        if mutant::is(mutant::Mutant::CountSilent) {
-            missing.clear();
-        }
-        if !is_one_snapshot {
-            self.breach(invariant::Name::OneSnapshot, format!("{query}: not all of {}", best.snapshot));
-        }
-        let is_true = contributed.len() + missing.len() == self.queries.get(query.0).map_or(0, |row| row.parts.len());
-        if !is_true {
-            let detail = format!("{query}: {} in, {} missing", contributed.len(), missing.len());
-            self.breach(invariant::Name::TrueCoverage, detail);
-        }
-        let is_sound = is_one_snapshot && is_true;
-        if !is_sound && !mutant::is_any() {
-            self.finish_unanswered(query, event::Code::Withheld, Some(COME_BACK));
-            return;
-        }
-        let code = if missing.is_empty() { event::Code::Ok } else { event::Code::Partial };
-        self.end(query, event::Outcome::Answered, code, None, Some(best.snapshot), contributed, missing);
-    }
-
-    /// Ends a query without an answer. It counts as not run only if nothing was dispatched, or each
-    /// attempt was proved not to have run.
-    pub(super) fn finish_unanswered(
-        &mut self,
-        query: id::Query,
-        code: event::Code,
-        retry_after: Option<clock::Millis>,
-    ) {
-        let Some(row) = self.queries.get(query.0) else {
-            return;
-        };
-        let is_live = row.parts.iter().any(|part| part.live_count() > 0);
-        let may_have_run = row.may_have_run || is_live;
-        let is_not_run = !may_have_run || mutant::is(mutant::Mutant::AssumeNotRun);
-        let outcome = if is_not_run { event::Outcome::NotRun } else { event::Outcome::Unknown };
-        let is_handed_on = row.failure.is_some() && row.shape() == view::Shape::Whole;
-        let code = if is_handed_on { event::Code::ServerFailed } else { code };
-        let missing = row.targets().iter().map(|target| target.shard.clone()).collect();
-        self.end(query, outcome, code, retry_after, None, Vec::new(), missing);
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "the one place where an answer is put together")]
-    fn end(
-        &mut self,
-        query: id::Query,
-        outcome: event::Outcome,
-        code: event::Code,
-        retry_after: Option<clock::Millis>,
-        snapshot: Option<view::Snapshot>,
-        contributed: Vec<(compact_str::CompactString, id::Attempt)>,
-        missing: Vec<compact_str::CompactString>,
-    ) {
-        let Some(row) = self.queries.remove(query.0) else {
-            return;
-        };
-        if self.callers.swap_remove(&row.caller) != Some(query) {
-            self.breach(invariant::Name::OwnWholeAnswer, format!("{query}: {:?} has no such query", row.caller));
-        }
-        let is_left = matches!(code, event::Code::CallerGone | event::Code::HostSilent);
-        for attempt in row.parts.iter().flat_map(|part| part.live).flatten() {
-            if is_left {
-                self.cancel(attempt);
-                continue;
-            }
-            self.give_up(attempt);
-        }
-        self.remember_key(&row, outcome);
-        self.end_run(&row, outcome);
-        self.summarise(query, &row, outcome, code, &missing);
-        self.outputs.push(event::Output::Answer(event::Answer {
-            caller: row.caller,
-            query: Some(query),
-            class: self.classes[row.class].name.clone(),
-            outcome,
-            code,
-            snapshot,
-            contributed,
-            missing,
-            shape: row.shape(),
-            via: row.via.clone(),
-            failure: row.failure.filter(|_| code == event::Code::ServerFailed),
-            retry_after,
-            cost: row.cost,
-        }));
-    }
-
-    fn remember_key(&mut self, row: &query::Query, outcome: event::Outcome) {
-        let Some(key) = &row.key else {
-            return;
-        };
-        if row.selector().idempotent {
-            return;
-        }
-        let until = self.now + self.policy.key_window;
-        self.keys.end(key, (outcome != event::Outcome::NotRun).then_some(until));
-    }
-
-    fn end_run(&mut self, row: &query::Query, outcome: event::Outcome) {
-        let Some(started) = row.started else {
-            return;
-        };
-        let took = self.now.since(started);
-        let selector = row.selector();
-        let usual = selector.settle.unwrap_or(selector.deadline);
-        let target = selector.aim.unwrap_or_else(|| usual.scale(self.policy.latency_target.get()));
-        let is_good = outcome == event::Outcome::Answered && took <= target;
-        let class = &mut self.classes[row.class];
-        class.running = class.running.saturating_sub(1);
-        class.on_end(self.now, took, is_good, self.policy.running_ceiling);
-    }
-
-    fn summarise(
-        &mut self,
-        query: id::Query,
-        row: &query::Query,
-        outcome: event::Outcome,
-        code: event::Code,
-        missing: &[compact_str::CompactString],
-    ) {
-        let mut tried = Vec::new();
-        for (part, target) in row.parts.iter().zip(row.targets()) {
-            if !missing.contains(&target.shard) {
-                continue;
-            }
-            let names = part.tried.iter().flatten().filter_map(|&id| row.view.server(id));
-            tried.push((target.shard.clone(), names.map(|server| server.name.clone()).collect()));
-        }
-        self.recent.push(summary::Summary {
-            query,
-            class: self.classes[row.class].name.clone(),
-            outcome,
-            code,
-            took: self.now.since(row.arrived),
-            cost: row.cost,
-            missing: tried,
-        });
-    }
-
     /// The views that queries in flight still pin, for the tests of memory.
     pub fn pinned_views(&self) -> usize {
         let mut views: Vec<*const view::View> = self.queries.iter().map(|(_, row)| Arc::as_ptr(&row.view)).collect();
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod class;
 mod dispatch;
 pub mod event;
+mod finish;
 mod fleet;
 mod gather;
 mod hedge;
@@ -26,6 +27,7 @@
 mod server;
 pub mod summary;
 mod timer;
+pub mod why;
 
 use std::sync::Arc;
 
--- a/crates/core/src/traffic/room.rs
+++ b/crates/core/src/traffic/room.rs
@@ -10,30 +10,35 @@
 
 use crate::{clock, id, view};
 
+use super::why;
+
 /// Shortest time to come back after a refusal for want of room.
 const COME_BACK_LEAST: clock::Millis = clock::Millis(20);
 /// Longest.
 const COME_BACK_MOST: clock::Millis = clock::Millis(2000);
 
 impl super::Core {
-    /// When to come back, if a request of `class` that comes now could not be answered within `left`.
+    /// When to come back, and why, if a request of `class` that comes now could not be answered within
+    /// `left`.
     pub(super) fn lacks_room(
         &mut self,
         row: usize,
         class: &view::Class,
         branch: usize,
         left: clock::Millis,
-    ) -> Option<clock::Millis> {
+    ) -> Option<(clock::Millis, why::Why)> {
         if !self.policy.refuse_by_wait {
             return None;
         }
         let wait = self.expected_wait(row, class, branch)?;
-        if wait == clock::Millis::ZERO || wait + self.classes[row].slow_attempt() <= left {
+        let attempt = self.classes[row].slow_attempt();
+        if wait == clock::Millis::ZERO || wait + attempt <= left {
             return None;
         }
         // Callers that are refused together would come back together.
         let span = wait.0.clamp(COME_BACK_LEAST.0, COME_BACK_MOST.0);
-        Some(clock::Millis(span + self.random.random_range(0..=span)))
+        let retry_after = clock::Millis(span + self.random.random_range(0..=span));
+        Some((retry_after, why::Why::Busy { wait, attempt, left }))
     }
 
     /// How long the shards that the class needs at least would wait for room; `None` if it cannot be met.
--- a/crates/node/src/lane/ingress.rs
+++ b/crates/node/src/lane/ingress.rs
@@ -4,7 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 use compact_str::format_compact;
-use shallothub_core::{clock, id, traffic::event};
+use shallothub_core::{
+    clock, id,
+    traffic::{event, why},
+};
 use shallothub_wire::{relay, seam};
 use tokio::time::timeout;
 use xitca_http::http::RequestExt;
@@ -278,6 +281,9 @@
     shell.shared.metrics.answered(class, core, shards, took);
     let name = answer.name.as_deref().unwrap_or_default();
     let missing = format_compact!("{}", core.missing.join(","));
+    // What decided it, and by which configuration and which list of servers; of a whole answer nobody asks.
+    let why = (core.why != why::Why::Plain).then(|| tracing::field::display(&core.why));
+    let versions = (core.code != event::Code::Ok).then(|| shell.versions());
     tracing::info!(
         request,
         query = name,
@@ -293,6 +299,9 @@
         hedges = core.cost.hedges,
         retries = core.cost.retries,
         retry_after_ms = core.retry_after.map(|span| span.0),
+        why,
+        stamp = versions.map(|(config, _)| tracing::field::display(config)),
+        hosts = versions.map(|(_, hosts)| tracing::field::display(hosts)),
         "answered"
     );
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -16,7 +16,7 @@
 
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
-use shallothub_core::{catalog, clock, id, route, table, traffic};
+use shallothub_core::{catalog, clock, id, route, table, traffic, view};
 use shallothub_wire::seam;
 use snafu::ResultExt;
 use tokio::{runtime, sync::mpsc, sync::oneshot, task, time::sleep};
@@ -148,6 +148,13 @@
         self.state.borrow().core.view().limits
     }
 
+    /// The stamps of the configuration and of the list of servers in force.
+    fn versions(&self) -> (view::Stamp, view::Stamp) {
+        let state = self.state.borrow();
+        let view = state.core.view();
+        (view.stamp, view.hosts_revision)
+    }
+
     /// The class to which a request goes; its destination's own words if there is none.
     fn class(&self, to: &seam::Destination) -> CompactString {
         match to {
@@ -168,6 +175,9 @@
     ) -> (id::Caller, oneshot::Receiver<seam::Answer>) {
         let (reply, receiver) = oneshot::channel();
         let class = self.class(&request.ask.to);
+        if class.is_empty() {
+            tracing::info!(request = %request.ask.name, to = ?request.ask.to, "no route");
+        }
         let key = request.ask.key.clone();
         let caller = {
             let mut state = self.state.borrow_mut();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -399,3 +399,63 @@
     }
     drop(idle);
 }
+
+/// All lines of a node's log about a request, once its answer is among them.
+async fn lines(deployment: &Deployment, request: &str) -> Vec<serde_json::Value> {
+    loop {
+        let text = std::fs::read_to_string(&deployment.nodes[0].log).unwrap_or_default();
+        let lines = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+        let lines: Vec<_> = lines.filter(|line| line["request"] == request).collect();
+        if lines.iter().any(|line| line["message"] == "answered") {
+            return lines;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// A caller asks why a request failed, and has only its id. The lines about it say what happened, at which
+/// server, and by which version of the configuration; what the deciding inputs were is in `why`.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_request_is_explained_by_its_lines() {
+    let mut deployment = started("explained", 1).await;
+    let mut client = client(&deployment, 0);
+    let set = |deployment: &Deployment, change: fn(&mut replica::Knobs)| {
+        letters(deployment).for_each(|leaf| leaf.replica.set(change));
+    };
+    set(&deployment, |knobs| knobs.manner = replica::Manner::Resetting);
+    client.ask(Kind::Write, "lost").await;
+    let lost = lines(&deployment, "lost").await;
+    assert_eq!((&lost[0]["message"], &lost[0]["end"]), (&"an attempt failed".into(), &"Lost".into()), "{lost:?}");
+    assert!(lost[0]["server"].as_str().is_some_and(|server| server.starts_with("i-")), "{lost:?}");
+    assert_eq!(lost[1]["code"], "attempt_lost", "{lost:?}");
+    assert!(lost[1]["stamp"].is_string() && lost[1]["hosts"].is_string(), "{lost:?}");
+
+    set(&deployment, |knobs| knobs.manner = replica::Manner::Mute);
+    client.ask(Kind::Write, "late").await;
+    let late = lines(&deployment, "late").await;
+    let why = late.last().and_then(|line| line["why"].as_str()).unwrap_or_default().to_owned();
+    assert!(why.starts_with("letters waits for i-"), "{late:?}");
+
+    for leaf in 0..deployment.leafs.len() {
+        if deployment.leafs[leaf].entry.service == "letters" {
+            deployment.leafs[leaf].entry.leaving = true;
+            deployment.registry.register(&deployment.leafs[leaf].entry.clone());
+        }
+    }
+    let mut refused = Vec::new();
+    for round in 0.. {
+        let name = format!("refused-{round}");
+        client.ask(Kind::Read, &name).await;
+        refused = lines(&deployment, &name).await;
+        if refused[refused.len() - 1]["code"] == "no_replica" {
+            break;
+        }
+    }
+    let why = refused[refused.len() - 1]["why"].as_str().unwrap_or_default();
+    assert!(why.starts_with("0 of 1 shards have a server; letters: i-") && why.contains("is leaving"), "{refused:?}");
+
+    raw(deployment.nodes[0].listen, &(head("GET /nowhere/x", "nowhere") + "\r\n")).await;
+    let nowhere = lines(&deployment, "nowhere").await;
+    assert_eq!(nowhere[0]["message"], "no route");
+    assert!(nowhere[0]["to"].as_str().is_some_and(|to| to.contains("/nowhere/x")), "{nowhere:?}");
+}
