--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -29,7 +29,7 @@
     /// so is the query after the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&CompactString> {
         let name = match host.rsplit_once(':') {
-            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) && !name.ends_with(':') => name,
+            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
             _ => host,
         };
         let prefixes = match self.hosts.get(name) {
@@ -45,16 +45,6 @@
         }
         None
     }
-
-    /// The number of routes.
-    pub fn len(&self) -> usize {
-        self.hosts.values().map(IndexMap::len).sum()
-    }
-
-    /// Whether there is no route.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
 
 /// Bounds on what a caller may send, and for how long it may be silent.
