--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -18,6 +18,7 @@
 pub mod note;
 mod platform;
 mod registry;
+mod spread;
 
 use std::sync::Arc;
 
@@ -28,12 +29,21 @@
 
 use crate::{catalog, clock, id, invariant, mutant, plan, rendezvous, view};
 
+/// What hosts are ranked by to find the sentinels among them.
+const SENTINELS: &str = "sentinels";
+
 /// Knobs of the control core.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// Hosts of each data centre that watch the platform. Default 1.
     pub watchers: u32,
+    /// Hosts of the whole fleet that ask a registry with short waits. A call may be lost without a word, and
+    /// a host notices that only when the wait is over; others then hear of it from these. Default 2: one
+    /// may be dead.
+    pub sentinels: u32,
+    /// Longest wait of a sentinel's call, in ms. Default 1500.
+    pub sentinel_watch: clock::Millis,
     /// Children of a host in the tree by which changes are pushed. Default 8.
     pub fanout: u32,
     /// Time between two exchanges of digests, in ms. Default 1000.
@@ -65,6 +75,8 @@
     fn default() -> Self {
         Self {
             watchers: 1,
+            sentinels: 2,
+            sentinel_watch: clock::Millis(1500),
             fanout: 8,
             gossip: clock::Millis(1000),
             gossip_peers: 2,
@@ -240,8 +252,8 @@
     /// A newer manifest whose parts are being collected.
     pending: Option<catalog::Manifest>,
     refused: Option<view::Stamp>,
-    /// Another host has something newer, since when, and it did not come yet.
-    newer: Option<(view::Stamp, clock::Millis)>,
+    /// Another host has something newer that did not come yet.
+    newer: Option<Newer>,
     /// When the platform was last known to have nothing newer.
     fresh_at: Option<clock::Millis>,
     is_watching: bool,
@@ -249,6 +261,15 @@
     read_at: clock::Millis,
 }
 
+/// What another host said to have.
+#[derive(Debug)]
+struct Newer {
+    stamp: view::Stamp,
+    from: CompactString,
+    /// When this host first heard of something newer than it has.
+    since: clock::Millis,
+}
+
 /// Counters since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -286,7 +307,16 @@
     peers: IndexMap<CompactString, plan::EntryHost>,
     /// Hosts of this data centre, by rank; the first ones watch, and the order is the push tree's.
     ranked: Vec<CompactString>,
+    /// Addresses of the first ones, without this host.
+    watcher_peers: Vec<CompactString>,
+    /// Whether this host is one of those that ask the registry most often.
+    is_sentinel: bool,
     members: member::Members,
+    /// When to look which members did not answer.
+    review_at: clock::Millis,
+    /// Whether others are to be told what this host has from the registry, and the earliest time.
+    must_announce: bool,
+    announce_at: clock::Millis,
     is_leaving: bool,
     /// This host's own turn as a member.
     turn: u64,
@@ -313,7 +343,12 @@
             view: None,
             peers: IndexMap::new(),
             ranked: Vec::new(),
+            watcher_peers: Vec::new(),
+            is_sentinel: false,
             members: member::Members::default(),
+            review_at: clock::Millis::MAX,
+            must_announce: false,
+            announce_at: clock::Millis::ZERO,
             is_leaving: false,
             turn: 0,
             registry: registry::Registry::default(),
@@ -338,6 +373,8 @@
             Source::Registry { .. } => self.ask_registry(),
         }
         self.gossip();
+        self.ask_for_late();
+        self.announce();
         self.count_outputs()
     }
 
@@ -345,7 +382,9 @@
     pub fn next_timer(&self) -> clock::Millis {
         match self.reader.source {
             Source::Documents => self.now,
-            Source::Registry { .. } => self.gossip_at.min(self.registry_timer()),
+            Source::Registry { .. } => {
+                self.gossip_at.min(self.review_at).min(self.spread_timer()).min(self.registry_timer())
+            }
         }
     }
 
@@ -407,7 +446,7 @@
     /// Whether this host watches the platform for its data centre.
     pub fn is_watcher(&self) -> bool {
         let most = self.policy.watchers as usize;
-        self.ranked.iter().take(most).any(|name| *name == self.identity.name)
+        self.is_sentinel || self.ranked.iter().take(most).any(|name| *name == self.identity.name)
     }
 
     /// Why each server of the selector's service is reached or not; `None` if there is no such
@@ -511,7 +550,7 @@
         shelf.current.adopt(manifest);
         shelf.parsed.retain(|digest, _| shelf.current.texts.contains_key(digest));
         shelf.stamp = stamp;
-        if shelf.newer.is_some_and(|(newer, _)| newer <= stamp) {
+        if shelf.newer.as_ref().is_some_and(|newer| newer.stamp <= stamp) {
             shelf.newer = None;
         }
         self.stats.adopted += 1;
@@ -575,13 +614,23 @@
     /// The same where hosts are known only from each other.
     fn refresh_from_members(&mut self) {
         self.ranked.push(self.identity.name.clone());
+        let mut all = vec![self.identity.name.clone()];
         for host in self.members.hosts() {
+            if host.state == plan::State::Live {
+                all.push(host.name.clone());
+            }
             if host.state == plan::State::Live && host.data_centre == self.identity.data_centre {
                 self.ranked.push(host.name.clone());
             }
             self.peers.insert(host.peer.clone(), host);
         }
         rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
+        rendezvous::rank(SENTINELS, &mut all);
+        self.is_sentinel = all.iter().take(self.policy.sentinels as usize).any(|name| *name == self.identity.name);
+        let watchers = &self.ranked[..self.ranked.len().min(self.policy.watchers as usize)];
+        let is_watcher = |host: &plan::EntryHost| watchers.contains(&host.name);
+        self.watcher_peers =
+            self.peers.iter().filter(|(_, host)| is_watcher(host)).map(|(address, _)| address.clone()).collect();
     }
 
     /// The server called `name`, for tests and status.
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -16,9 +16,14 @@
 /// many servers, a warm-up that is reported step by step), and each answer costs a call; the bounds
 /// for taking notice are some seconds.
 const NEWS_PAUSE: clock::Millis = clock::Millis(200);
-/// Least pause after a call that failed, in ms; jitter adds as much again. A registry that is back is
-/// seen in well under the two seconds in which its entries return.
+/// Least time between a call that failed and the next one, in ms; jitter adds as much again. A registry that
+/// is back is seen in well under the two seconds in which its entries return.
 const FAILURE_PAUSE: clock::Millis = clock::Millis(300);
+/// Least pause after a call that failed late.
+const RETRY_LEAST: clock::Millis = clock::Millis(50);
+/// Part of the longest wait that a call waits at least. A change answers the calls of all hosts at once; if
+/// the next ones waited equally long, all would be lost together to a registry that goes away for a moment.
+const WAIT_LEAST: f64 = 0.6;
 
 /// Which call is on its way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,7 +46,11 @@
     call: Call,
     tickets: u64,
     must_read: bool,
+    /// Ask once, although another host watches.
+    must_look: bool,
     call_at: clock::Millis,
+    /// When the call on its way was sent.
+    called_at: clock::Millis,
     pub(super) held: hold::Held,
 }
 
@@ -55,15 +64,38 @@
         if self.registry.mirror.at() == 0 || self.registry.must_read {
             self.registry.must_read = false;
             self.registry.call = Call::Page;
+            self.registry.called_at = self.now;
             self.outputs.push(Output::List { after: None });
             return;
         }
-        // While the registry does not answer, a long wait would only hide that it is back.
-        let may_wait = self.is_watcher() && !self.registry.held.is_away();
-        let wait = if may_wait { self.policy.watch } else { clock::Millis::ZERO };
+        let wait = self.wait();
         self.follow(wait, false);
     }
 
+    /// How long the next call may wait for changes.
+    fn wait(&mut self) -> clock::Millis {
+        // While the registry does not answer, a long wait would only hide that it is back.
+        if !self.is_watcher() || self.registry.held.is_away() {
+            return clock::Millis::ZERO;
+        }
+        let most = if self.is_sentinel { self.policy.sentinel_watch } else { self.policy.watch };
+        most.scale(self.random.random_range(WAIT_LEAST..=1.0))
+    }
+
+    /// Asks the registry once and at once, since those who watch it for this host may be gone.
+    pub(super) fn look_at_registry(&mut self) {
+        self.registry.must_look = true;
+    }
+
+    /// Another host has had something since `since` of which the registry told this one nothing: the call on
+    /// its way may be lost.
+    pub(super) fn doubt_registry(&mut self, since: clock::Millis) {
+        let is_waiting = matches!(self.registry.call, Call::Changes { confirms: false, .. });
+        if is_waiting && self.registry.called_at <= since {
+            self.follow(clock::Millis::ZERO, false);
+        }
+    }
+
     /// A watcher always asks; another host does when nobody told it anything for long, and at the
     /// start after those that its settings name first.
     fn may_ask(&self) -> bool {
@@ -71,12 +103,15 @@
             return false;
         }
         let fresh_at = self.shelves[catalog::Kind::Hosts.index()].fresh_at;
-        self.is_watcher() || fresh_at.is_none_or(|at| self.now.since(at) > self.policy.stale)
+        let is_stale = fresh_at.is_none_or(|at| self.now.since(at) > self.policy.stale);
+        self.is_watcher() || self.registry.must_look || is_stale
     }
 
     fn follow(&mut self, wait: clock::Millis, confirms: bool) {
         let registry = &mut self.registry;
         registry.tickets += 1;
+        registry.must_look = false;
+        registry.called_at = self.now;
         registry.call = Call::Changes { ticket: registry.tickets, confirms };
         self.outputs.push(Output::Follow { ticket: registry.tickets, after: registry.mirror.at(), wait });
     }
@@ -160,7 +195,8 @@
         self.stats.platform_failures += 1;
         self.registry.call = Call::None;
         let jitter = self.random.random_range(0..=FAILURE_PAUSE.0);
-        self.registry.call_at = self.now + FAILURE_PAUSE + clock::Millis(jitter);
+        let usual = self.registry.called_at + FAILURE_PAUSE + clock::Millis(jitter);
+        self.registry.call_at = usual.max(self.now + RETRY_LEAST);
         if self.registry.held.on_failure() {
             let at = self.registry.mirror.at();
             self.outputs.push(Output::Note(note::Note::SourceLost { at }));
@@ -208,7 +244,9 @@
             shelf.current.texts.entry(digest).or_insert(text);
         }
         shelf.pending = Some(manifest);
-        self.try_adopt(kind);
+        if self.try_adopt(kind) {
+            self.must_announce |= self.is_watcher();
+        }
     }
 
     /// Holds the servers that a new list lacks, and lets go of those that it names again.
--- /dev/null
+++ b/crates/core/src/control/spread.rs
@@ -0,0 +1,244 @@
+//! How a catalog reaches other hosts: pushed down a tree, announced to some, and asked for where it does
+//! not come.
+//!
+//! A push is the cheap way, and it fails silently when a host in the tree died a moment ago. So hosts that
+//! have a catalog from its source also announce its stamp, to hosts of which another one is in charge, and
+//! whoever hears of a stamp, in an announcement or in a digest, asks for what did not come in time.
+
+use compact_str::CompactString;
+use rand::Rng;
+
+use crate::{catalog, clock, mutant, rendezvous, view};
+
+use super::{Core, Newer, Output, Source, message, note};
+
+/// Time for a push to arrive, in ms, before what a host told is asked for: a few hops and the pause
+/// between two reads of the registry.
+const PUSH_WAIT: clock::Millis = clock::Millis(500);
+/// Least time between two announcements of a host, in ms. A busy registry changes several times a second.
+const ANNOUNCE_PAUSE: clock::Millis = clock::Millis(500);
+/// Most hosts that are told in one announcement. The others hear of it by digests.
+const ANNOUNCED: usize = 16;
+
+impl Core {
+    /// Whether to ask `from` at once for a newer catalog that it has. Most are pushed and are on their way;
+    /// what does not come for a while is asked for later.
+    pub(super) fn must_ask(&mut self, kind: catalog::Kind, theirs: view::Stamp, from: &CompactString) -> bool {
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        let shelf = &mut self.shelves[kind.index()];
+        if theirs <= shelf.stamp || shelf.refused == Some(theirs) {
+            return false;
+        }
+        if shelf.stamp.version == 0 || !is_registry {
+            return true;
+        }
+        let since = shelf.newer.as_ref().map_or(self.now, |newer| newer.since);
+        shelf.newer = Some(Newer { stamp: theirs, from: from.clone(), since });
+        false
+    }
+
+    /// Asks for what others have and what did not come in time.
+    pub(super) fn ask_for_late(&mut self) {
+        for kind in catalog::Kind::ALL {
+            let shelf = &mut self.shelves[kind.index()];
+            let is_late = shelf.newer.as_ref().is_some_and(|newer| self.now.since(newer.since) >= PUSH_WAIT);
+            let Some(newer) = shelf.newer.take_if(|_| is_late) else {
+                continue;
+            };
+            self.ask(newer.from, kind);
+            self.doubt_registry(newer.since);
+        }
+    }
+
+    /// When [`Core::ask_for_late`] must run, and [`Core::announce`].
+    pub(super) fn spread_timer(&self) -> clock::Millis {
+        let late = self.shelves.iter().filter_map(|shelf| shelf.newer.as_ref()).map(|newer| newer.since + PUSH_WAIT);
+        let announce = if self.must_announce { self.announce_at } else { clock::Millis::MAX };
+        late.min().unwrap_or(clock::Millis::MAX).min(announce)
+    }
+
+    /// Tells some hosts what this one has from the registry.
+    pub(super) fn announce(&mut self) {
+        if !self.must_announce || self.announce_at > self.now {
+            return;
+        }
+        self.must_announce = false;
+        self.announce_at = self.now + ANNOUNCE_PAUSE;
+        let is_near = |host: &crate::plan::EntryHost| host.data_centre == self.identity.data_centre;
+        let mut others = Vec::new();
+        for (address, host) in &self.peers {
+            let is_live = host.state == crate::plan::State::Live;
+            if is_live && !self.watcher_peers.contains(address) && (self.is_sentinel || is_near(host)) {
+                others.push(address.clone());
+            }
+        }
+        for _ in 0..ANNOUNCED.min(others.len()) {
+            let place = self.random.random_range(0..others.len());
+            let to = others.swap_remove(place);
+            let body = message::Body::Digest(message::Digest {
+                stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
+                ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
+                known: self.members.count() as u32,
+                ..message::Digest::default()
+            });
+            self.say(to, body);
+        }
+    }
+
+    pub(super) fn ask(&mut self, to: CompactString, kind: catalog::Kind) {
+        let have = self.shelves[kind.index()].current.texts.keys().copied().collect();
+        self.say(to, message::Body::Ask(message::Ask { kind, have }));
+    }
+
+    pub(super) fn on_ask(&mut self, from: CompactString, ask: &message::Ask) {
+        let shelf = &self.shelves[ask.kind.index()];
+        if shelf.current.manifest.parts.is_empty() {
+            return;
+        }
+        let mut parts = Vec::new();
+        for (key, digest) in &shelf.current.manifest.parts {
+            let text = if ask.have.contains(digest) { None } else { shelf.current.texts.get(digest).cloned() };
+            parts.push(message::Part { key: key.clone(), digest: *digest, text });
+        }
+        let version = shelf.current.manifest.version;
+        let digest = shelf.stamp.digest;
+        let update = message::Update { kind: ask.kind, base: None, version, digest, removed: Vec::new(), parts };
+        self.say(from, message::Body::Catalog(update));
+    }
+
+    pub(super) fn on_update(&mut self, from: CompactString, update: message::Update) {
+        let kind = update.kind;
+        let shelf = &mut self.shelves[kind.index()];
+        if update.version < shelf.stamp.version && !mutant::is(mutant::Mutant::AcceptOlder) {
+            return;
+        }
+        let mut manifest = match update.base {
+            None => catalog::Manifest { version: update.version, ..Default::default() },
+            Some(base) if can_build_on(base, &update, shelf.stamp) => shelf.current.manifest.clone(),
+            Some(_) => {
+                let theirs = view::Stamp { version: update.version, digest: update.digest };
+                if self.must_ask(kind, theirs, &from) {
+                    self.ask(from, kind);
+                }
+                return;
+            }
+        };
+        manifest.version = update.version;
+        for key in &update.removed {
+            manifest.parts.swap_remove(key);
+        }
+        let mut texts = Vec::new();
+        for part in update.parts {
+            if let Some(text) = part.text
+                && catalog::Digest::of(&text) == part.digest
+            {
+                texts.push((part.digest, text));
+            }
+            manifest.parts.insert(part.key, part.digest);
+        }
+        manifest.parts.sort_unstable_keys();
+        let stamp = manifest.stamp();
+        let is_older = stamp <= shelf.stamp && !mutant::is(mutant::Mutant::AcceptOlder);
+        if is_older || shelf.refused == Some(stamp) {
+            return;
+        }
+        let is_other = update.digest != 0 && update.digest != stamp.digest;
+        if is_other {
+            self.ask(from, kind);
+            return;
+        }
+        shelf.current.texts.extend(texts);
+        if !shelf.current.lacks(&manifest).is_empty() {
+            self.ask(from, kind);
+            return;
+        }
+        shelf.pending = Some(manifest);
+        if self.try_adopt(kind) {
+            self.outputs.push(Output::Note(note::Note::FromPeer { from, stamp }));
+        }
+    }
+
+    /// Sends what changed to this host's children in the tree of its data centre, and, from the
+    /// root, to the roots of the other data centres.
+    pub(super) fn push(&mut self, kind: catalog::Kind, before: &catalog::Manifest, base: view::Stamp) {
+        let shelf = &self.shelves[kind.index()];
+        let update = difference(kind, before, base, &shelf.current);
+        for to in self.children() {
+            self.say(to, message::Body::Catalog(update.clone()));
+        }
+    }
+
+    fn children(&self) -> Vec<CompactString> {
+        let Some(place) = self.ranked.iter().position(|name| *name == self.identity.name) else {
+            return Vec::new();
+        };
+        let fanout = self.policy.fanout as usize;
+        let first = place * fanout + 1;
+        // A host that watches for itself needs no push.
+        let skipped = first.max(self.policy.watchers as usize);
+        let end = first + fanout;
+        let mut names: Vec<CompactString> = self.ranked.iter().take(end).skip(skipped).cloned().collect();
+        // A registry is watched in every data centre, and digests cross between them.
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        if place == 0 && !is_registry {
+            names.extend(self.other_roots());
+        }
+        let mut addresses = Vec::new();
+        for (address, host) in &self.peers {
+            if names.contains(&host.name) {
+                addresses.push(address.clone());
+            }
+        }
+        addresses
+    }
+
+    /// The first host by rank of each other data centre.
+    fn other_roots(&self) -> Vec<CompactString> {
+        let mut centres: Vec<&CompactString> = self.peers.values().map(|host| &host.data_centre).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        let mut roots = Vec::new();
+        for centre in centres {
+            if *centre == self.identity.data_centre {
+                continue;
+            }
+            let is_there =
+                |host: &&crate::plan::EntryHost| host.data_centre == *centre && host.state == crate::plan::State::Live;
+            let mut names: Vec<CompactString> =
+                self.peers.values().filter(is_there).map(|host| host.name.clone()).collect();
+            rendezvous::rank(centre, &mut names);
+            roots.extend(names.into_iter().next());
+        }
+        roots
+    }
+}
+
+/// Whether the difference `update` can be applied to the manifest of `current`. Versions of a registry
+/// are points of one history, so a difference from an earlier point holds the latest value of all that
+/// changed since, and the digest of the result tells whether that was so.
+fn can_build_on(base: view::Stamp, update: &message::Update, current: view::Stamp) -> bool {
+    base == current || update.digest != 0 && base.version <= current.version && current.version > 0
+}
+
+fn difference(
+    kind: catalog::Kind,
+    before: &catalog::Manifest,
+    base: view::Stamp,
+    current: &catalog::Catalog,
+) -> message::Update {
+    let mut parts = Vec::new();
+    for (key, digest) in &current.manifest.parts {
+        if before.parts.get(key) == Some(digest) {
+            continue;
+        }
+        parts.push(message::Part { key: key.clone(), digest: *digest, text: current.texts.get(digest).cloned() });
+    }
+    let mut removed = Vec::new();
+    for key in before.parts.keys() {
+        if !current.manifest.parts.contains_key(key) {
+            removed.push(key.clone());
+        }
+    }
+    let stamp = current.manifest.stamp();
+    message::Update { kind, base: Some(base), version: stamp.version, digest: stamp.digest, removed, parts }
+}
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -261,3 +261,49 @@
     fleet.run_until(18_000);
     assert_eq!(fleet.have(29), 8);
 }
+
+/// The registry takes calls and answers none for two seconds, and its restart loses those that waited. A
+/// change had just sent all watching hosts to it at the same moment, so each waited in vain, for as long as
+/// a watch may last, and callers met a configuration that was replaced seconds ago.
+#[rstest]
+fn a_registry_that_lost_all_calls_is_asked_again_soon(
+    #[values(6, 8, 67)] hosts: usize,
+    #[values(300, 2300, 5000)] mute_for: u64,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.put("leaf/3-0", "s3 dc-3 leaving");
+    fleet.run_until(8150);
+    fleet.set_mute(true);
+    fleet.run_until(8150 + mute_for);
+    fleet.set_mute(false);
+    fleet.put("config", "2 20");
+    fleet.run_until(8150 + mute_for + 4000);
+    assert_eq!(fleet.have(2), hosts);
+}
+
+/// Half of the machines lose power, among them the two of a data centre that watch the registry. The third
+/// one went on sending work to a leaf that said right then that it leaves, until it had noticed that nobody
+/// tells it anything any more.
+#[rstest]
+fn a_host_whose_watchers_died_is_up_to_date_in_time(
+    #[values(9, 40)] hosts: usize,
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    let watchers: Vec<usize> = (0..hosts).filter(|&host| fleet.hosts[host].core.is_watcher()).collect();
+    for host in 0..hosts {
+        let is_home = host % 4 == 0;
+        let dies = if is_home { watchers.contains(&host) } else { host % 2 == 1 };
+        if dies {
+            fleet.restart(host, 4000);
+        }
+    }
+    fleet.run_until(8200);
+    fleet.put("leaf/3-0", "s3 dc-3 leaving");
+    fleet.put("config", "2 20");
+    fleet.run_until(8200 + 2700);
+    for host in 0..hosts {
+        assert!(!fleet.may_use(host, "3-0"), "host {host} still uses a leaf that leaves");
+    }
+}
--- a/crates/core/tests/registry_fleet/mod.rs
+++ b/crates/core/tests/registry_fleet/mod.rs
@@ -87,7 +87,7 @@
 }
 
 struct Waiting {
-    /// It was sent during a cut, and nobody will answer it.
+    /// Nobody will answer it: it was sent during a cut, or lay with a registry that went mute.
     is_lost: bool,
     host: usize,
     life: u32,
@@ -109,6 +109,8 @@
     pub refuses: IndexSet<usize>,
     /// Watches that are open hear nothing any more.
     pub is_deaf: bool,
+    /// Calls are taken and never answered, not even later.
+    is_mute: bool,
     pub calls: u64,
 }
 
@@ -124,7 +126,9 @@
 }
 
 /// Time after which a call of the registry is given up beyond its wait, as in the node.
-const PATIENCE: u64 = 2000;
+const PATIENCE: u64 = 1000;
+/// The same for a page of a whole read.
+const PAGE_PATIENCE: u64 = 2000;
 /// Time for which a connection on which bytes were held up by a cut stays stuck after it heals: the
 /// kernel sends them again ever less often.
 const STUCK: u64 = 6000;
@@ -229,6 +233,15 @@
         }
     }
 
+    /// From now on the registry takes calls and answers none of them, also none that wait; or it is as before.
+    pub fn set_mute(&mut self, is_mute: bool) {
+        self.store.is_mute = is_mute;
+        for waiting in self.waiting.iter_mut().filter(|_| is_mute) {
+            waiting.is_lost = true;
+            waiting.until += PATIENCE;
+        }
+    }
+
     /// Makes `shards` services with `replicas` leafs each, dealt over the data centres, and a config.
     pub fn publish(&mut self, number: u64, shards: usize, replicas: usize) {
         for shard in 0..shards {
@@ -298,12 +311,13 @@
             control::Output::List { after } => {
                 self.store.calls += 1;
                 let input = control::Input::Page(self.page(host, after.as_deref()));
-                self.at(self.now + 4, Happening::Input { host, life, input });
+                let took = if self.store.is_mute { PAGE_PATIENCE } else { 4 };
+                self.at(self.now + took, Happening::Input { host, life, input });
             }
             control::Output::Follow { ticket, after, wait } => {
                 self.store.calls += 1;
                 self.waiting.retain(|waiting| waiting.host != host);
-                let is_lost = self.hosts[host].is_cut;
+                let is_lost = self.hosts[host].is_cut || self.store.is_mute;
                 let until = self.now + wait.0 + if is_lost { PATIENCE } else { 0 };
                 self.waiting.push(Waiting { is_lost, host, life, ticket, after, until });
                 self.end_watches();
@@ -324,7 +338,7 @@
         if self.hosts[host].is_cut {
             return None;
         }
-        if self.store.away || self.store.refuses.contains(&host) {
+        if self.store.away || self.store.is_mute || self.store.refuses.contains(&host) {
             return None;
         }
         let mut keys: Vec<&CompactString> = self.store.items.keys().collect();
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -201,7 +201,10 @@
         let words = self.shared.control.clone();
         task::spawn_local(async move {
             let mut client = platform::Client::default();
-            let text = match client.get(address, &path, wait, catalog::VALUE_MAX).await {
+            let text = match client
+                .get(address, &path, platform::READ_PATIENCE + time::duration(wait), catalog::VALUE_MAX)
+                .await
+            {
                 Ok(answer) => text(&path, &answer),
                 Err(error) if error.is_fault() => {
                     tracing::warn!(detail = %error, "refused a value");
@@ -225,7 +228,7 @@
         let words = self.shared.control.clone();
         task::spawn_local(async move {
             let mut client = platform::Client::default();
-            let answer = client.get(address, &path, clock::Millis::ZERO, REGISTRY_BYTES).await;
+            let answer = client.get(address, &path, platform::READ_PATIENCE, REGISTRY_BYTES).await;
             let page = match answer {
                 Ok(answer) if answer.status == http::StatusCode::OK => match registry.page(&answer.body) {
                     Ok(page) => Some(page),
@@ -260,7 +263,8 @@
         let follower = Rc::clone(&self.follower);
         let task = task::spawn_local(async move {
             let mut client = follower.take();
-            let answer = client.get(address, &path, wait, REGISTRY_BYTES).await;
+            let patience = platform::WATCH_PATIENCE + time::duration(wait);
+            let answer = client.get(address, &path, patience, REGISTRY_BYTES).await;
             let changes = match answer {
                 Ok(answer) => changes(registry, &answer),
                 Err(error) => {
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -9,12 +9,9 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt;
-use shallothub_core::clock;
 use snafu::{ResultExt, Snafu};
 use tokio::{task, time::timeout};
 
-use crate::time;
-
 /// Longest time to open a connection. One that was begun during a cut would be tried again by the kernel
 /// only seconds after it heals.
 const CONNECT: std_time::Duration = std_time::Duration::from_secs(1);
@@ -23,8 +20,11 @@
 /// Probes without an answer after which the connection is dead.
 const PROBES: u32 = 2;
 
-/// Longest time for a call beyond the wait of a watch.
-const PATIENCE: std_time::Duration = std_time::Duration::from_secs(2);
+/// Longest time for a call that reads a value or a page, which may be a megabyte on a thin link.
+pub(crate) const READ_PATIENCE: std_time::Duration = std_time::Duration::from_secs(2);
+/// Longest time for a call beyond the wait of a watch. Answers take milliseconds, and some tenths of a second
+/// when the platform is slow; what takes longer is lost, and the sooner it is asked for again the better.
+pub(crate) const WATCH_PATIENCE: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// Why there is no value.
 #[derive(Debug, Snafu)]
@@ -62,16 +62,14 @@
 }
 
 impl Client {
-    /// Gets `path`. `wait` is how long the platform may hold the answer back, and `limit` the largest
-    /// body in bytes.
+    /// Gets `path` within `patience`; `limit` is the largest body in bytes.
     pub(crate) async fn get(
         &mut self,
         address: net::SocketAddr,
         path: &str,
-        wait: clock::Millis,
+        patience: std_time::Duration,
         limit: usize,
     ) -> Result<Answer, Error> {
-        let patience = PATIENCE + time::duration(wait);
         let sender = self.sender.take();
         match timeout(patience, call(address, sender, path, limit)).await {
             Ok(Ok((sender, answer))) => {
