Let a host that was cut off tell nothing of others, and reconnect to all

Cause: with replies awaited for half a second, a host that had been cut off for 3 or 7 s was taken for silent on and off until 11 s after the cut healed (67 hosts, fake time). It had taken all others for silent and its word reached them; and its own connections were stuck, so that its answers came late.

Ruled out: the longer patience of 1 s alone (the same claims, fewer); a higher count of unanswered digests (death is noticed too late for a leaf that leaves).

Change: a digest that was not answered says nothing of a host if nobody at all was heard since it was sent; a host that hears again after 2 s of silence from all gives up its connections to all.

--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -10,6 +10,9 @@
 /// Time after which a digest counts as not answered, in ms. An answer takes some milliseconds; a host with a
 /// tenth of a core that does much else takes a hundred.
 const REPLY_PATIENCE: clock::Millis = clock::Millis(500);
+/// Silence of all other hosts, in ms, after which this one is cut off from them. In calm it hears from two or
+/// more in each second.
+const CUT_OFF: clock::Millis = clock::Millis(2000);
 /// Most digests a second, on average, that a watching host gets from those for which it watches, besides the
 /// usual ones. They notice its death sooner than a random host would.
 const WATCHER_PROBES: f64 = 8.0;
@@ -91,7 +94,7 @@
     /// Counts members that did not reply, asks doubtful ones again, and forgets those long gone.
     fn review_members(&mut self) {
         self.review_at = clock::Millis::MAX;
-        let review = self.members.review(self.now, REPLY_PATIENCE);
+        let review = self.members.review(self.now, self.heard_at, REPLY_PATIENCE);
         let lost_watcher = review.unanswered.iter().any(|peer| self.watcher_peers.contains(peer));
         if lost_watcher {
             self.look_at_registry();
@@ -197,8 +200,25 @@
         self.probe();
     }
 
+    /// This host was cut off, and hears from others again. Connections on which it spoke meanwhile may stay
+    /// stuck for as long as the cut took, the ones included on which it answers. Others would take it for
+    /// silent until each of them was noticed by itself.
+    fn notice_end_of_cut(&mut self) {
+        let silence = self.now.since(self.heard_at);
+        self.heard_at = self.now;
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        if !is_registry || silence < CUT_OFF {
+            return;
+        }
+        self.outputs.push(Output::Note(note::Note::CutOff { silence }));
+        for to in self.peers.keys() {
+            self.outputs.push(Output::Reconnect { to: to.clone() });
+        }
+    }
+
     pub(super) fn on_message(&mut self, message: message::Message) {
         self.stats.received += 1;
+        self.notice_end_of_cut();
         if message.protocol > message::PROTOCOL {
             self.stats.unknown += 1;
             return;
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -121,19 +121,20 @@
         }
     }
 
-    /// Counts digests that were not answered within `patience`.
-    pub(super) fn review(&mut self, now: clock::Millis, patience: clock::Millis) -> Review {
+    /// Counts digests that were not answered within `patience`. Where this host has heard from nobody since
+    /// it sent one, it may itself be cut off, and tells nothing of the others: its word would reach them when
+    /// the cut heals, and make many pass over hosts that are well.
+    pub(super) fn review(&mut self, now: clock::Millis, heard_at: clock::Millis, patience: clock::Millis) -> Review {
         let mut review = Review::default();
         for (peer, row) in &mut self.rows {
-            if row.asked_at.is_none_or(|at| now.since(at) < patience) {
+            let Some(asked_at) = row.asked_at.take_if(|at| now.since(*at) >= patience) else {
                 continue;
-            }
-            row.asked_at = None;
-            row.unanswered = row.unanswered.saturating_add(1);
+            };
             review.unanswered.push(peer.clone());
-            if row.member.state == message::State::Silent {
+            if row.member.state == message::State::Silent || asked_at >= heard_at {
                 continue;
             }
+            row.unanswered = row.unanswered.saturating_add(1);
             if row.unanswered < UNANSWERED_MOST {
                 review.doubtful.push(peer.clone());
                 continue;
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -312,6 +312,8 @@
     /// Whether this host is one of those that ask the registry most often.
     is_sentinel: bool,
     members: member::Members,
+    /// When another host was last heard.
+    heard_at: clock::Millis,
     /// When to look which members did not answer.
     review_at: clock::Millis,
     /// Whether others are to be told what this host has from the registry, and the earliest time.
@@ -346,6 +348,7 @@
             watcher_peers: Vec::new(),
             is_sentinel: false,
             members: member::Members::default(),
+            heard_at: now,
             review_at: clock::Millis::MAX,
             must_announce: false,
             announce_at: clock::Millis::ZERO,
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -36,6 +36,11 @@
         /// Hosts known now, this one included.
         known: usize,
     },
+    /// This host hears from others again after a while in which it heard from none.
+    CutOff {
+        /// How long it heard nothing.
+        silence: clock::Millis,
+    },
     /// Hosts do not reply, and get no more work.
     Silent {
         /// Their names.
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -198,6 +198,28 @@
     assert_eq!(fleet.have(2), hosts);
 }
 
+/// The same with a shorter cut. Connections on which the host had sent during the cut stayed stuck, among them
+/// those on which it answers: others took it for silent again and again for ten seconds, and passed it over.
+#[rstest]
+fn a_host_that_was_cut_off_is_a_member_again_soon(
+    #[values(8, 67)] hosts: usize,
+    #[values(3, 7)] cut_s: u64,
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.hosts[5].is_cut = true;
+    let healed = 8000 + cut_s * 1000;
+    fleet.run_until(healed);
+    fleet.hosts[5].is_cut = false;
+    fleet.run_until(healed + 4500);
+    for step in 0..60 {
+        fleet.run_until(healed + 4500 + step * 100);
+        for host in 0..hosts {
+            assert_eq!(states(&fleet, host, State::Silent), 0, "host {host} at {} ms", fleet.now - healed);
+        }
+    }
+}
+
 /// A host is asked to stop: the others pass nothing more on to it after a second.
 #[rstest]
 fn a_host_that_leaves_is_known_to_leave(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -338,6 +338,7 @@
             tracing::info!(peer = %from, stamp = %stamp, "took a catalog of a peer")
         }
         note::Note::Joined { name, known } => tracing::info!(peer = %name, known, "heard of a host"),
+        note::Note::CutOff { silence } => tracing::info!(silence_ms = silence.0, "hears from other hosts again"),
         note::Note::Silent { names } => tracing::info!(peers = names.join(","), "hosts do not reply"),
         note::Note::Forgotten { known } => tracing::info!(known, "forgot silent hosts"),
         note::Note::Held { server, span } => {
