Take one connection to each server until the other hosts are known, or the dead ones' are gone

Cause: when a whole fleet dies and comes back, each host knows only itself at first and takes all connections of a server; and a server still counts those of machines that lost power, until it finds them idle.

Change: a host has a standing. It joins (digests in quick succession) until one that is settled told it of all it knows; if none did for 1.5 s, the fleet was born anew together, and it takes one connection to each server for 8 s. Digests tell whether the sender is settled.

--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -5,7 +5,7 @@
 
 use crate::{catalog, clock};
 
-use super::{Core, Output, Source, member, message, note};
+use super::{Core, Output, Source, Standing, member, message, note};
 
 /// Time after which a digest counts as not answered, in ms. An answer takes some milliseconds; a host with a
 /// tenth of a core that does much else takes a hundred.
@@ -20,6 +20,14 @@
 const SEED_PART: f64 = 0.1;
 /// Hosts told at once that this one leaves; the others hear of it from them.
 const TOLD_OF_LEAVING: usize = 4;
+/// Time after the start for which a host may not have heard of many others, unless one that has been up
+/// for longer told it. Three or four rounds of digests spread the word among a hundred hosts.
+const JOINING: clock::Millis = clock::Millis(1500);
+/// Pause between two exchanges in that time.
+const JOINING_PAUSE: clock::Millis = clock::Millis(150);
+/// Time after the start for which servers may still count connections of the fleet before, if it died as a
+/// whole: a machine that loses power closes none, and servers keep idle ones for some seconds.
+const REBORN: clock::Millis = clock::Millis(8000);
 /// Shortest pause between two exchanges of digests.
 const GOSSIP_LEAST: clock::Millis = clock::Millis(50);
 
@@ -35,6 +43,7 @@
         message::Body::Digest(message::Digest {
             members,
             known: self.members.count() as u32,
+            is_settled: self.standing == Standing::Settled,
             stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
             ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
             sent,
@@ -137,11 +146,39 @@
             return;
         }
         let jitter = self.random.random_range(0..=self.policy.gossip.0 / 4);
-        let pause = if self.view.is_some() { self.policy.gossip } else { self.policy.start_wait };
+        let pause = match (self.view.is_some(), self.standing) {
+            (false, _) => self.policy.start_wait,
+            (true, Standing::Joining) => JOINING_PAUSE,
+            (true, _) => self.policy.gossip,
+        };
         self.gossip_at = self.now + pause.max(GOSSIP_LEAST) + clock::Millis(jitter);
+        self.age_standing();
         self.probe();
     }
 
+    /// A host that nobody who is settled told of the others began together with all of them.
+    fn age_standing(&mut self) {
+        let age = self.now.since(self.started_at);
+        match self.standing {
+            Standing::Joining if age >= JOINING => self.stand(Standing::Reborn),
+            Standing::Reborn if age >= REBORN => self.stand(Standing::Settled),
+            _ => {}
+        }
+    }
+
+    fn stand(&mut self, standing: Standing) {
+        if self.standing == standing {
+            return;
+        }
+        if self.standing == Standing::Joining {
+            // Hosts that started together would go on to exchange digests in step.
+            self.gossip_at = self.now + clock::Millis(self.random.random_range(0..=self.policy.gossip.0));
+        }
+        self.standing = standing;
+        self.outputs.push(Output::Note(note::Note::Standing { standing, known: self.members.count() }));
+        self.compile();
+    }
+
     fn probe(&mut self) {
         if matches!(self.reader.source, Source::Registry { .. }) {
             self.probe_members(self.policy.gossip_peers as usize);
@@ -233,6 +270,9 @@
     fn on_digest(&mut self, from: CompactString, digest: &message::Digest) {
         if matches!(self.reader.source, Source::Registry { .. }) {
             self.hear_of(&from, &digest.members);
+            if digest.is_settled && self.members.count() >= digest.known as usize {
+                self.stand(Standing::Settled);
+            }
         }
         for kind in catalog::Kind::ALL {
             if self.must_ask(kind, digest.stamps[kind.index()], &from) {
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -58,6 +58,8 @@
     pub members: Vec<Member>,
     /// How many hosts the sender knows.
     pub known: u32,
+    /// Whether these are likely to be all.
+    pub is_settled: bool,
 }
 
 /// An entry host that the sender of a digest knows.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -108,6 +108,18 @@
     pub power: u32,
 }
 
+/// What a host knows of its own start, where hosts learn of each other by gossip.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// It started a moment ago, and may not have heard of many others yet.
+    Joining,
+    /// It heard of nobody who was there before: the whole fleet started together, perhaps after it died.
+    Reborn,
+    /// It knows the others, and takes its full share of what all hosts share.
+    Settled,
+}
+
 /// Where configuration and lists of hosts come from.
 #[derive(Clone, Copy, Debug)]
 pub enum Source {
@@ -325,6 +337,7 @@
     registry: registry::Registry,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
+    standing: Standing,
     /// When a traffic core asked for confirmation.
     revalidate_at: Option<clock::Millis>,
     outputs: Vec<Output>,
@@ -357,6 +370,10 @@
             registry: registry::Registry::default(),
             gossip_at: now,
             started_at: now,
+            standing: match reader.source {
+                Source::Documents => Standing::Settled,
+                Source::Registry { .. } => Standing::Joining,
+            },
             revalidate_at: None,
             outputs: Vec::new(),
             stats: Stats::default(),
@@ -583,7 +600,8 @@
             power: self.identity.power,
             is_open: true,
         };
-        let fleet = plan::Fleet { this: Some(&this), members, relays: &relays, held: &held };
+        let is_settled = self.standing == Standing::Settled;
+        let fleet = plan::Fleet { this: Some(&this), members, is_settled, relays: &relays, held: &held };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -41,6 +41,13 @@
         /// How long it heard nothing.
         silence: clock::Millis,
     },
+    /// This host's standing changed, and with it its share of servers' connections.
+    Standing {
+        /// What it is now.
+        standing: super::Standing,
+        /// Hosts known, this one included.
+        known: usize,
+    },
     /// Hosts do not reply, and get no more work.
     Silent {
         /// Their names.
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -7,6 +7,10 @@
 
 use super::{BackendServer, EntryHost, Leaf, Part, Relay, Selector, Server, Service, State, routing, targets};
 
+/// Most connections to a server of a host that is not settled. After the death of a whole fleet each host
+/// knows only itself at first and would take all, while the server may still count those of the dead.
+const UNSETTLED_SHARE: u32 = 1;
+
 /// What a host knows that no document says.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Fleet<'l> {
@@ -17,6 +21,8 @@
     /// Entry hosts that may hold connections, this one included, as far as hosts heard of each
     /// other; 0 if the documents list them.
     pub members: u32,
+    /// Whether this host may take its full share of connections; see [`crate::control::Standing`].
+    pub is_settled: bool,
     /// Servers whose entry is missing but that still count.
     pub held: &'l [Leaf],
 }
@@ -85,10 +91,11 @@
     view: &mut view::View,
     routing: &routing::Routing,
     leafs: &IndexMap<&CompactString, &Leaf>,
-    here: &str,
+    fleet: &Fleet<'_>,
     shares: &IndexMap<CompactString, u32>,
     registry: &mut view::Registry,
 ) -> IndexMap<CompactString, Vec<id::Server>> {
+    let here = fleet.this.map_or("", |this| this.data_centre.as_str());
     let connections: IndexMap<&CompactString, u32> =
         routing.services.iter().map(|service| (&service.name, service.connections)).collect();
     let mut by_service: IndexMap<CompactString, Vec<id::Server>> = IndexMap::new();
@@ -97,6 +104,7 @@
         // A server that accepts fewer connections than there are hosts turns some away; that is better
         // than hosts that cannot reach it at all.
         let equal = (accepted / view.hosts.max(1)).max(1);
+        let share = shares.get(&leaf.service).copied().unwrap_or(equal);
         let id = registry.intern(&leaf.name);
         if leaf.leaving {
             registry.mark_leaving(id, 0);
@@ -109,7 +117,7 @@
             slots: leaf.slots,
             leaving: registry.is_leaving(id, 0),
             distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
-            own_share: Some(shares.get(&leaf.service).copied().unwrap_or(equal)),
+            own_share: Some(if fleet.is_settled { share } else { share.min(UNSETTLED_SHARE) }),
             is_peer: false,
         };
         put_server(view, id, server);
--- a/crates/core/src/plan/routing.rs
+++ b/crates/core/src/plan/routing.rs
@@ -160,8 +160,7 @@
             view.parts.insert(registry.intern_service(service), sharing.part());
         }
     }
-    let here = fleet.this.map_or("", |this| this.data_centre.as_str());
-    let by_service = compile::add_leafs(view, routing, leafs, here, &shares, registry);
+    let by_service = compile::add_leafs(view, routing, leafs, fleet, &shares, registry);
     let mut target = |service: &CompactString| view::Target {
         shard: service.clone(),
         service: registry.intern_service(service),
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -12,6 +12,9 @@
 };
 use shallothub_wire::peer;
 
+/// Connections that a server of the test's registry accepts.
+const CONNECTIONS: u32 = 56;
+
 fn policy() -> control::Policy {
     control::Policy { watchers: 2, start_wait: clock::Millis::ZERO, ..control::Policy::default() }
 }
@@ -56,6 +59,46 @@
     assert_eq!(fleet.have(1), 8);
 }
 
+/// Connections of all hosts to one server.
+fn connections(fleet: &Fleet, hosts: usize) -> u32 {
+    let mut sum = 0;
+    for view in (0..hosts).filter_map(|host| fleet.view(host)) {
+        sum += view.servers.iter().flatten().next().map_or(0, |server| server.share(view.hosts));
+    }
+    sum
+}
+
+/// The same, seen from the servers: they accept so many connections and reset those beyond, and those of
+/// machines that lost power count until they are noticed to be idle. Each host that starts knows at first
+/// only itself. If it took what all others take too, callers would wait for seconds after the fleet is back.
+#[rstest]
+fn hosts_that_start_together_share_connections(#[values(8, 28)] hosts: usize, #[values(1, 2, 3, 4)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    let before = connections(&fleet, hosts);
+    fleet.run_until(20_000);
+    for host in 0..hosts {
+        fleet.restart(host, 800 + (host as u64 * 37) % 400);
+    }
+    for step in 0..500 {
+        fleet.run_until(20_800 + step * 10);
+        let sum = connections(&fleet, hosts);
+        assert!(sum <= CONNECTIONS / 2, "{sum} connections after {} ms", step * 10);
+    }
+    fleet.run_until(32_000);
+    assert!(connections(&fleet, hosts) >= before, "the hosts stay with few connections");
+}
+
+/// A host that is started anew alone is told of the others by them, and has its full share at once.
+#[rstest]
+fn a_host_that_starts_alone_has_its_share_soon(#[values(8, 28)] hosts: usize, #[values(1, 2, 3, 4)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.run_until(20_000);
+    let before = connections(&fleet, hosts);
+    fleet.restart(5, 500);
+    fleet.run_until(21_500);
+    assert_eq!(connections(&fleet, hosts), before);
+}
+
 /// One host starts anew while the registry is away: it learns from the others what it needs.
 #[rstest]
 fn a_host_that_starts_without_the_registry_learns_from_others(#[values(1, 2, 3)] seed: u64) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -337,6 +337,7 @@
         note::Note::FromPeer { from, stamp } => {
             tracing::info!(peer = %from, stamp = %stamp, "took a catalog of a peer")
         }
+        note::Note::Standing { standing, known } => tracing::info!(?standing, known, "this host's standing"),
         note::Note::Joined { name, known } => tracing::info!(peer = %name, known, "heard of a host"),
         note::Note::CutOff { silence } => tracing::info!(silence_ms = silence.0, "hears from other hosts again"),
         note::Note::Silent { names } => tracing::info!(peers = names.join(","), "hosts do not reply"),
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -19,6 +19,7 @@
                 echo: echo.map(clock::Millis),
                 members: vec![member],
                 known: 2,
+                is_settled: true,
             })
         });
     let ask = proptest::collection::vec(any::<u64>(), 0..20).prop_map(|have| {
