--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -211,6 +211,7 @@
             echo: None,
             members: Vec::new(),
             known: 0,
+            is_settled: true,
         }),
     };
     points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
