Ask the registry in place of hosts that it turns away

The one that it served is third by rank in its data centre and does not watch; a request reached a leaf 3.1 s after it had said that it leaves.

Ruled out: digests between hosts (nobody had the news); the time to notice dead watchers (they answer).

Change: hosts tell whether the registry answers them. The next three by rank ask in place of watchers that it turns away, half as often.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -212,6 +212,7 @@
             members: Vec::new(),
             known: 0,
             is_settled: true,
+            is_away: false,
         }),
     };
     points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -44,6 +44,7 @@
             members,
             known: self.members.count() as u32,
             is_settled: self.standing == Standing::Settled,
+            is_away: self.registry.held.is_away(),
             stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
             ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
             sent,
@@ -270,6 +271,9 @@
     fn on_digest(&mut self, from: CompactString, digest: &message::Digest) {
         if matches!(self.reader.source, Source::Registry { .. }) {
             self.hear_of(&from, &digest.members);
+            if self.members.set_away(&from, digest.is_away) {
+                self.refresh_peers();
+            }
             if digest.is_settled && self.members.count() >= digest.known as usize {
                 self.stand(Standing::Settled);
             }
--- a/crates/core/src/control/hold.rs
+++ b/crates/core/src/control/hold.rs
@@ -55,6 +55,11 @@
         !std::mem::replace(&mut self.is_away, true)
     }
 
+    /// This host does not ask any more, so it does not know whether it would be answered.
+    pub(super) fn on_rest(&mut self) {
+        self.is_away = false;
+    }
+
     /// Whether the registry does not answer this host.
     pub(super) fn is_away(&self) -> bool {
         self.is_away
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -13,7 +13,7 @@
 use std::cmp;
 
 use compact_str::CompactString;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, rngs};
 
 use crate::{clock, plan};
@@ -40,6 +40,8 @@
     unanswered: u8,
     /// When a digest was sent to it that is not answered yet.
     asked_at: Option<clock::Millis>,
+    /// It said itself that the registry does not answer it.
+    is_away: bool,
 }
 
 /// What a digest brought about a member.
@@ -79,8 +81,9 @@
     /// Takes what a digest says of `member`.
     pub(super) fn hear(&mut self, now: clock::Millis, member: &message::Member) -> News {
         let Some(row) = self.rows.get_mut(&member.peer) else {
-            let row = Row { member: member.clone(), changed_at: now, told: 0, unanswered: 0, asked_at: None };
-            self.rows.insert(member.peer.clone(), row);
+            let member = member.clone();
+            let row = Row { member, changed_at: now, told: 0, unanswered: 0, asked_at: None, is_away: false };
+            self.rows.insert(row.member.peer.clone(), row);
             return News::Joined;
         };
         let is_newer = (member.turn, member.state) > (row.member.turn, row.member.state);
@@ -114,6 +117,17 @@
         News::Changed
     }
 
+    /// The member at `peer` says whether the registry answers it; `true` if that changed.
+    pub(super) fn set_away(&mut self, peer: &CompactString, is_away: bool) -> bool {
+        self.rows.get_mut(peer).is_some_and(|row| std::mem::replace(&mut row.is_away, is_away) != is_away)
+    }
+
+    /// Members that live but do not hear from the registry, by name.
+    pub(super) fn away(&self) -> IndexSet<CompactString> {
+        let rows = self.rows.values().filter(|row| row.is_away && row.member.state == message::State::Alive);
+        rows.map(|row| row.member.name.clone()).collect()
+    }
+
     /// A digest goes to the member at `peer`.
     pub(super) fn ask(&mut self, now: clock::Millis, peer: &CompactString) {
         if let Some(row) = self.rows.get_mut(peer) {
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -60,6 +60,8 @@
     pub known: u32,
     /// Whether these are likely to be all.
     pub is_settled: bool,
+    /// Whether the registry does not answer the sender.
+    pub is_away: bool,
 }
 
 /// An entry host that the sender of a digest knows.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -32,6 +32,9 @@
 /// What hosts are ranked by to find the sentinels among them.
 const SENTINELS: &str = "sentinels";
 
+/// Hosts of a data centre that ask a registry in turn when it does not answer those before them in rank.
+const STAND_INS: usize = 3;
+
 /// Knobs of the control core.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -323,6 +326,8 @@
     watcher_peers: Vec<CompactString>,
     /// Whether this host is one of those that ask the registry most often.
     is_sentinel: bool,
+    /// Whether it asks in place of others, whom the registry turns away.
+    is_stand_in: bool,
     members: member::Members,
     /// When another host was last heard.
     heard_at: clock::Millis,
@@ -360,6 +365,7 @@
             ranked: Vec::new(),
             watcher_peers: Vec::new(),
             is_sentinel: false,
+            is_stand_in: false,
             members: member::Members::default(),
             heard_at: now,
             review_at: clock::Millis::MAX,
@@ -466,7 +472,7 @@
     /// Whether this host watches the platform for its data centre.
     pub fn is_watcher(&self) -> bool {
         let most = self.policy.watchers as usize;
-        self.is_sentinel || self.ranked.iter().take(most).any(|name| *name == self.identity.name)
+        self.is_sentinel || self.is_stand_in || self.ranked.iter().take(most).any(|name| *name == self.identity.name)
     }
 
     /// Why each server of the selector's service is reached or not; `None` if there is no such
@@ -648,7 +654,12 @@
         rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
         rendezvous::rank(SENTINELS, &mut all);
         self.is_sentinel = all.iter().take(self.policy.sentinels as usize).any(|name| *name == self.identity.name);
-        let watchers = &self.ranked[..self.ranked.len().min(self.policy.watchers as usize)];
+        let most = self.policy.watchers as usize;
+        let away = self.members.away();
+        let place = self.ranked.iter().position(|name| *name == self.identity.name).unwrap_or_default();
+        let served = self.ranked[..place].iter().filter(|name| !away.contains(*name)).count();
+        self.is_stand_in = (most..most + STAND_INS).contains(&place) && served < most;
+        let watchers = &self.ranked[..self.ranked.len().min(most)];
         let is_watcher = |host: &plan::EntryHost| watchers.contains(&host.name);
         self.watcher_peers =
             self.peers.iter().filter(|(_, host)| is_watcher(host)).map(|(address, _)| address.clone()).collect();
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -19,6 +19,8 @@
 /// Least time between a call that failed and the next one, in ms; jitter adds as much again. A registry that
 /// is back is seen in well under the two seconds in which its entries return.
 const FAILURE_PAUSE: clock::Millis = clock::Millis(300);
+/// How many times longer a host waits that asks in place of others: it is one of several.
+const STAND_IN_PAUSE: f64 = 2.0;
 /// Least pause after a call that failed late.
 const RETRY_LEAST: clock::Millis = clock::Millis(50);
 /// Part of the longest wait that a call waits at least. A change answers the calls of all hosts at once; if
@@ -58,6 +60,9 @@
     /// Sends the call that is due: a whole read when nothing is known, else the question for changes.
     pub(super) fn ask_registry(&mut self) {
         self.expire_held();
+        if self.registry.call == Call::None && !self.is_watcher() && !self.registry.must_look {
+            self.registry.held.on_rest();
+        }
         if self.registry.call != Call::None || self.registry.call_at > self.now || !self.may_ask() {
             return;
         }
@@ -186,6 +191,7 @@
         let was_away = self.registry.held.is_away();
         self.registry.held.on_answer(self.now);
         if was_away {
+            self.must_announce = true;
             let at = self.registry.mirror.at();
             self.outputs.push(Output::Note(note::Note::SourceBack { at }));
         }
@@ -195,9 +201,10 @@
         self.stats.platform_failures += 1;
         self.registry.call = Call::None;
         let jitter = self.random.random_range(0..=FAILURE_PAUSE.0);
-        let usual = self.registry.called_at + FAILURE_PAUSE + clock::Millis(jitter);
-        self.registry.call_at = usual.max(self.now + RETRY_LEAST);
+        let pause = (FAILURE_PAUSE + clock::Millis(jitter)).scale(if self.is_stand_in { STAND_IN_PAUSE } else { 1.0 });
+        self.registry.call_at = (self.registry.called_at + pause).max(self.now + RETRY_LEAST);
         if self.registry.held.on_failure() {
+            self.must_announce = true;
             let at = self.registry.mirror.at();
             self.outputs.push(Output::Note(note::Note::SourceLost { at }));
         }
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -57,18 +57,21 @@
         late.min().unwrap_or(clock::Millis::MAX).min(announce)
     }
 
-    /// Tells some hosts what this one has from the registry.
+    /// Tells some hosts what this one has from the registry, and whether it still hears from it.
     pub(super) fn announce(&mut self) {
         if !self.must_announce || self.announce_at > self.now {
             return;
         }
         self.must_announce = false;
         self.announce_at = self.now + ANNOUNCE_PAUSE;
-        let is_near = |host: &crate::plan::EntryHost| host.data_centre == self.identity.data_centre;
+        // Where the registry turns hosts away, those that watch it need to be told as well.
+        let is_torn = self.registry.held.is_away() || !self.members.away().is_empty();
         let mut others = Vec::new();
         for (address, host) in &self.peers {
             let is_live = host.state == crate::plan::State::Live;
-            if is_live && !self.watcher_peers.contains(address) && (self.is_sentinel || is_near(host)) {
+            let is_near = host.data_centre == self.identity.data_centre;
+            let is_told = is_torn || (self.is_sentinel || is_near) && !self.watcher_peers.contains(address);
+            if is_live && is_told {
                 others.push(address.clone());
             }
         }
@@ -79,6 +82,7 @@
                 stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
                 ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
                 known: self.members.count() as u32,
+                is_away: self.registry.held.is_away(),
                 ..message::Digest::default()
             });
             self.say(to, body);
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -48,6 +48,24 @@
     assert_eq!(fleet.have(2), 8);
 }
 
+/// The same for nearly all hosts, those that watch among them. The only one that the registry serves must
+/// notice that nobody else can tell, or a leaf that leaves gets work for as long as that lasts.
+#[rstest]
+fn one_host_that_is_served_is_enough(
+    #[values(8, 12)] hosts: usize,
+    #[values(0, 3, 5, 7)] served: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.store.refuses.extend((0..hosts).filter(|&host| host != served));
+    fleet.run_until(12_000);
+    fleet.put("leaf/3-0", "s3 dc-3 leaving");
+    fleet.put("config", "2 20");
+    fleet.run_until(14_700);
+    assert_eq!(fleet.have(2), hosts);
+    assert!((0..hosts).all(|host| !fleet.may_use(host, "3-0")));
+}
+
 /// A whole fleet loses its processes while the registry is there; it serves again in a second.
 #[rstest]
 fn a_fleet_that_died_is_back_in_a_second(#[values(1, 2, 3)] seed: u64) {
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -20,6 +20,7 @@
                 members: vec![member],
                 known: 2,
                 is_settled: true,
+                is_away: false,
             })
         });
     let ask = proptest::collection::vec(any::<u64>(), 0..20).prop_map(|have| {
