--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -12,10 +12,10 @@
 
 use super::{Core, Output, hold, mirror, note};
 
-/// Pause after changes before the next ones are asked for, in ms. Changes come in bursts (a start of
-/// many servers, a warm-up that is reported step by step), and each answer costs a call; the bounds
-/// for taking notice are some seconds.
-const NEWS_PAUSE: clock::Millis = clock::Millis(200);
+/// Pause after changes before the next ones are asked for, in ms. Changes come in bursts (a start of many
+/// servers, a warm-up that is reported step by step), and each answer costs a call of every watching host; the
+/// bounds for taking notice are some seconds. Against 200 it saved a quarter to a third of all calls.
+const NEWS_PAUSE: clock::Millis = clock::Millis(500);
 /// Least time between a call that failed and the next one, in ms; jitter adds as much again. A registry that
 /// is back is seen in well under the two seconds in which its entries return.
 const FAILURE_PAUSE: clock::Millis = clock::Millis(300);
