Ask all other shards before a query ends for want of the first ones

All leafs of the first shard in the list were gone; giving that shard up looked whether anything of the query was still on its way, which nothing was yet.

Ruled out: too few open shards (19 of 20 were open; no_replica would have been said); a deadline that had passed (callers gave 600 ms).

Change: while the first attempts of a query are placed, it is not settled; it is afterwards.

Measured: partial.rs the_other_shards_are_asked 3 of 6 cases red before (those with the first shard), 0 after.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -135,6 +135,7 @@
             groups: Vec::new(),
             want: None,
             failed: 0,
+            is_placing: false,
             pending_hint: 0,
             may_have_run: false,
             restarts: 0,
@@ -289,6 +290,7 @@
         row.groups.clear();
         row.failed = 0;
         row.want = None;
+        row.is_placing = true;
         let count = parts as u64;
         let class_row = row.class;
         if let Some(settle) = class.settle {
@@ -313,6 +315,10 @@
                 return;
             }
         }
+        if let Some(row) = self.queries.get_mut(query.0) {
+            row.is_placing = false;
+            self.settle(query);
+        }
     }
 
     /// The time after a pause in which nothing is sent is over.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -301,7 +301,7 @@
         let Some(row) = self.queries.get(query.0) else {
             return;
         };
-        if row.started.is_none() {
+        if row.started.is_none() || row.is_placing {
             return;
         }
         let selector = row.selector();
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -138,6 +138,8 @@
     pub(crate) groups: Vec<Group>,
     pub(crate) want: Option<view::Snapshot>,
     pub(crate) failed: usize,
+    /// Its first attempts are being placed: that none is pending yet does not end it.
+    pub(crate) is_placing: bool,
     /// A shard that was pending when last looked at.
     pub(crate) pending_hint: usize,
     /// Whether any attempt may have run.
