Say in the line of a lost attempt what broke

Change: a lost attempt has a kind: the connection broke, the answer is another request's, or it cannot be used. The line has it as detail; the ends are named in lower case as elsewhere.

Measured: platform.rs a_failed_request_is_explained_by_its_lines, red before.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -217,7 +217,7 @@
                 for job in lost.into_iter().chain(waiting) {
                     self.at(
                         self.now + self.setup.size.link,
-                        Happening::Reply(job.host, job.attempt, event::Reply::Lost),
+                        Happening::Reply(job.host, job.attempt, event::Reply::Lost(event::Loss::Broken)),
                     );
                 }
                 for host in &mut self.hosts {
@@ -310,7 +310,10 @@
         self.report.arrivals += 1;
         let row = &mut self.leaves[leaf];
         if !row.up {
-            self.at(self.now + self.setup.size.link, Happening::Reply(job.host, job.attempt, event::Reply::Lost));
+            self.at(
+                self.now + self.setup.size.link,
+                Happening::Reply(job.host, job.attempt, event::Reply::Lost(event::Loss::Broken)),
+            );
             return;
         }
         if row.queue.len() >= fleet::QUEUE {
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -71,8 +71,54 @@
     Duplicate,
     /// Proof that no byte of it reached the server.
     NotSent,
-    /// It may or may not have run: the connection broke, or the answer was not usable.
-    Lost,
+    /// It may or may not have run.
+    Lost(Loss),
+}
+
+impl Reply {
+    /// The name in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Failed => "failed",
+            Self::Refused { .. } => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Duplicate => "duplicate",
+            Self::NotSent => "not_sent",
+            Self::Lost(_) => "lost",
+        }
+    }
+
+    /// What is known besides, for logs.
+    pub fn detail(&self) -> Option<&'static str> {
+        match self {
+            Self::Lost(loss) => Some(loss.as_str()),
+            Self::NotSent => Some("no connection could be opened, or it ended before anything was sent"),
+            _ => None,
+        }
+    }
+}
+
+/// Why nothing is known of an attempt that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// The connection broke before the whole answer was here.
+    Broken,
+    /// The answer is to another request.
+    Foreign,
+    /// The answer says neither what came of it nor that it did not run.
+    Unusable,
+}
+
+impl Loss {
+    /// A sentence for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Broken => "the connection broke before the whole answer was here",
+            Self::Foreign => "the answer is to another request",
+            Self::Unusable => "the answer cannot be used",
+        }
+    }
 }
 
 /// One shard's answer, without its body, which stays in the shell.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -31,7 +31,7 @@
             event::Reply::Misdirected => self.on_misdirected(row),
             event::Reply::Duplicate => self.on_duplicate(row),
             event::Reply::NotSent => self.on_not_sent(row),
-            event::Reply::Lost => self.on_lost(row),
+            event::Reply::Lost(loss) => self.on_lost(row, loss),
         }
     }
 
@@ -191,9 +191,9 @@
         }
     }
 
-    fn on_lost(&mut self, row: query::Attempt) {
+    fn on_lost(&mut self, row: query::Attempt, loss: event::Loss) {
         self.stats.lost += 1;
-        self.note_failed(row, event::Reply::Lost);
+        self.note_failed(row, event::Reply::Lost(loss));
         if let Some(query) = self.queries.get_mut(row.query.0) {
             query.may_have_run = true;
         }
--- a/crates/core/tests/driver/world.rs
+++ b/crates/core/tests/driver/world.rs
@@ -326,7 +326,8 @@
             return;
         }
         // Half of the cut attempts are proved not to have been sent; of the others nothing is known.
-        let reply = if self.random.random_bool(0.5) { event::Reply::NotSent } else { event::Reply::Lost };
+        let reply =
+            if self.random.random_bool(0.5) { event::Reply::NotSent } else { event::Reply::Lost(event::Loss::Broken) };
         self.after(1, 20, Happening::Traffic { host, life, input: event::Input::Reply { attempt, reply } });
     }
 
@@ -365,7 +366,7 @@
         let attempt = dispatch.attempt;
         let row = &mut self.leaves[leaf];
         if !row.up {
-            let input = event::Input::Reply { attempt, reply: event::Reply::Lost };
+            let input = event::Input::Reply { attempt, reply: event::Reply::Lost(event::Loss::Broken) };
             self.after(1, 5, Happening::Traffic { host, life, input });
             return;
         }
@@ -394,7 +395,7 @@
             row.busy = row.busy.saturating_sub(1);
         }
         let attempt = dispatch.attempt;
-        let mut reply = event::Reply::Lost;
+        let mut reply = event::Reply::Lost(event::Loss::Broken);
         // Now and then a connection breaks in the middle of an answer.
         let is_broken = self.random.random_bool(0.01);
         if !is_gone && !is_cut && !is_broken {
--- a/crates/core/tests/town/mod.rs
+++ b/crates/core/tests/town/mod.rs
@@ -432,7 +432,7 @@
     fn kill(&mut self) {
         let passed: Vec<_> = self.passed.iter().filter(|((host, _), _)| *host == 0).map(|(_, by)| *by).collect();
         for (from, attempt) in passed {
-            self.reply(from, attempt, 0, event::Reply::Lost);
+            self.reply(from, attempt, 0, event::Reply::Lost(event::Loss::Broken));
         }
     }
 
--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -28,7 +28,7 @@
 }
 
 fn ended(end: event::Reply) -> seam::Reply {
-    seam::Reply { end, ..seam::Reply::lost() }
+    seam::Reply { end, payload: None, is_own: false, idle: None }
 }
 
 async fn send(shell: &Rc<Shell>, dispatch: &event::Dispatch, request: &seam::Request) -> seam::Reply {
@@ -65,7 +65,7 @@
                 // The server closed an idle connection just as it was taken: the request comes back
                 // unsent, and the next connection gets it.
                 let Some(message) = error.take_message() else {
-                    return seam::Reply::lost();
+                    return seam::Reply::lost(event::Loss::Broken);
                 };
                 if is_new {
                     return ended(event::Reply::NotSent);
@@ -108,7 +108,7 @@
     let (head, body) = response.into_parts();
     let limit = shell.shared.settings.reply_bytes_max;
     let Ok(body) = Limited::new(body, limit).collect().await else {
-        return seam::Reply::lost();
+        return seam::Reply::lost(event::Loss::Broken);
     };
     let reply = match dispatch.relayed {
         Some(_) => relay::reply(&head, body.to_bytes()),
--- a/crates/node/src/lane/note.rs
+++ b/crates/node/src/lane/note.rs
@@ -20,7 +20,8 @@
             }
             note::Note::Failed { caller, server, end, took } => {
                 let request = caller.map(|caller| self.request_name(caller)).unwrap_or_default();
-                tracing::info!(%request, %server, end = ?end, took_ms = took.0, "an attempt failed");
+                let (end, detail) = (end.as_str(), end.detail());
+                tracing::info!(%request, %server, end, detail, took_ms = took.0, "an attempt failed");
             }
             note::Note::Silent { server, silent_for, pause } => {
                 let (silent_ms, pause_ms) = (silent_for.0, pause.0);
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -121,7 +121,7 @@
                 event::Reply::Refused { retry_after: retry_after(&head.headers) }
             }
             StatusCode::CONFLICT => event::Reply::Duplicate,
-            _ => event::Reply::Lost,
+            _ => event::Reply::Lost(event::Loss::Unusable),
         };
         seam::Reply { end, payload: None, is_own: true, idle: None }
     }
@@ -130,10 +130,10 @@
 /// Reads a whole answer. Garbage, and an answer to another attempt, are unknown ends.
 fn read(dispatch: &event::Dispatch, name: &str, bytes: &Bytes) -> seam::Reply {
     let Ok(reply) = serde_json::from_slice::<leaf::Reply<'_>>(bytes) else {
-        return seam::Reply::lost();
+        return seam::Reply::lost(event::Loss::Unusable);
     };
     if reply.attempt != name || reply.shard != dispatch.shard {
-        return seam::Reply::lost();
+        return seam::Reply::lost(event::Loss::Foreign);
     }
     let part =
         event::Part { snapshot: reply.snapshot, held: reply.held, hits: reply.count, load: reply.load, queue: None };
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -88,7 +88,7 @@
     } else if is(event::Outcome::Unknown) {
         (event::Reply::Failed, payload)
     } else {
-        return seam::Reply::lost();
+        return seam::Reply::lost(event::Loss::Unusable);
     };
     seam::Reply { end, payload, is_own: true, idle: None }
 }
--- a/crates/wire/src/seam.rs
+++ b/crates/wire/src/seam.rs
@@ -110,8 +110,8 @@
 
 impl Reply {
     /// An answer that cannot be used: whether the request ran is unknown.
-    pub fn lost() -> Self {
-        Self { end: event::Reply::Lost, payload: None, is_own: false, idle: None }
+    pub fn lost(loss: event::Loss) -> Self {
+        Self { end: event::Reply::Lost(loss), payload: None, is_own: false, idle: None }
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -445,7 +445,8 @@
     set(&deployment, |knobs| knobs.manner = replica::Manner::Resetting);
     client.ask(Kind::Write, "lost").await;
     let lost = lines(&deployment, "lost").await;
-    assert_eq!((&lost[0]["message"], &lost[0]["end"]), (&"an attempt failed".into(), &"Lost".into()), "{lost:?}");
+    assert_eq!((&lost[0]["message"], &lost[0]["end"]), (&"an attempt failed".into(), &"lost".into()), "{lost:?}");
+    assert_eq!(lost[0]["detail"], "the connection broke before the whole answer was here", "{lost:?}");
     assert!(lost[0]["server"].as_str().is_some_and(|server| server.starts_with("i-")), "{lost:?}");
     assert_eq!(lost[1]["code"], "attempt_lost", "{lost:?}");
     assert!(lost[1]["stamp"].is_string() && lost[1]["hosts"].is_string(), "{lost:?}");
