Tell in the log when a lost host or a server that was left out is back

Cause: the log had a line for a silent host and for a server that was left out, none for their return.

Change: two notes, at the first word of a silent host and at the first answer of a server that was left out.

Measured: registry.rs a_lost_host_and_its_return_are_told and recover.rs a_server_left_out_and_its_return_are_told, which do not compile without the notes.

--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -72,7 +72,11 @@
     }
 
     fn hear_of(&mut self, from: &CompactString, members: &[message::Member]) {
-        let mut has_news = self.members.hear_from(self.now, from) != member::News::None;
+        let is_back = self.members.hear_from(self.now, from) != member::News::None;
+        if is_back {
+            self.outputs.push(Output::Note(note::Note::Replies { peer: from.clone() }));
+        }
+        let mut has_news = is_back;
         for member in members {
             if member.peer == self.identity.peer {
                 self.contradict(member);
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -53,6 +53,11 @@
         /// Their names.
         names: Vec<CompactString>,
     },
+    /// A host that was silent says something again.
+    Replies {
+        /// Its `IP:PORT` for other hosts.
+        peer: CompactString,
+    },
     /// Hosts were silent for so long that they no longer count.
     Forgotten {
         /// Hosts known now, this one included.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -38,6 +38,9 @@
     fn on_part(&mut self, attempt: id::Attempt, row: query::Attempt, part: event::Part) {
         let took = self.now.since(row.sent);
         let was_out = self.servers[row.server.index()].is_ejected(self.now);
+        if self.servers[row.server.index()].was_ejected() {
+            self.note(note::Note::Restored { server: self.server_name(row.server) });
+        }
         let usual = self.classes[row.class].usual_attempt(row.is_relay);
         let state = &mut self.servers[row.server.index()];
         state.on_answer(self.now, took, usual, &part);
--- a/crates/core/src/traffic/note.rs
+++ b/crates/core/src/traffic/note.rs
@@ -59,6 +59,11 @@
         /// How long.
         pause: clock::Millis,
     },
+    /// A server that was left out answers again.
+    Restored {
+        /// The server.
+        server: CompactString,
+    },
     /// The process was stopped for a while.
     Paused {
         /// How long, as far as the steps tell.
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -131,6 +131,11 @@
         self.ejected_until > now
     }
 
+    /// Whether it was left out and has not answered since.
+    pub(crate) fn was_ejected(&self) -> bool {
+        self.ejections > 0
+    }
+
     pub(crate) fn is_silent(&self, now: clock::Millis) -> bool {
         self.silent_until > now
     }
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 use shallothub_core::{
-    clock, id,
+    clock, id, ratio,
     traffic::{self, event, note, policy},
     view,
 };
@@ -186,3 +186,36 @@
     }
     assert_eq!(most, 2);
 }
+
+/// A leaf fails until it is left out, and is well again later. Whoever reads the log finds both.
+#[test]
+fn a_server_left_out_and_its_return_are_told() {
+    let lane = traffic::Lane { index: 0, count: 1 };
+    let policy = policy::Policy { ejection_ceiling: ratio::Ratio::ONE, ..policy::Policy::default() };
+    let mut core = traffic::Core::new(policy, lane, 1, clock::Millis(1));
+    core.step(clock::Millis(1), [event::Input::View(one_leaf::view(8))]);
+    let mut notes = Vec::new();
+    for round in 1..2000_u64 {
+        let now = clock::Millis(round * 10);
+        let class = CompactString::const_new("ask");
+        let request = event::Request { caller: id::Caller(round), class, patience: None, key: None, relayed: None };
+        let mut outputs = core.step(now, [event::Input::Request(request)]);
+        while let Some(output) = outputs.pop() {
+            match output {
+                event::Output::Dispatch(dispatch) => {
+                    let snapshot = view::Snapshot { epoch: 1, version: 1 };
+                    let part = event::Part { snapshot, held: None, hits: 1, load: None, queue: None };
+                    let reply = if round < 500 { event::Reply::NotSent } else { event::Reply::Answered(part) };
+                    outputs.extend(core.step(now, [event::Input::Reply { attempt: dispatch.attempt, reply }]));
+                }
+                event::Output::Note(note) => notes.push(note),
+                _ => {}
+            }
+        }
+    }
+    let first = |wanted: fn(&note::Note) -> bool| notes.iter().position(wanted);
+    let out = first(|note| matches!(note, note::Note::Ejected { .. })).expect("it was left out");
+    let back = first(|note| matches!(note, note::Note::Restored { .. })).expect("it is back");
+    assert!(out < back);
+    assert_eq!(notes.iter().filter(|note| matches!(note, note::Note::Restored { .. })).count(), 1);
+}
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use shallothub_core::{
     clock,
-    control::{self, message::State},
+    control::{self, message::State, note},
 };
 use shallothub_wire::peer;
 
@@ -281,6 +281,20 @@
     }
 }
 
+/// Whoever reads the log after a cut finds that the others lost the host, and that they have it again.
+#[test]
+fn a_lost_host_and_its_return_are_told() {
+    let mut fleet = started(8, 4, 1);
+    fleet.hosts[5].is_cut = true;
+    fleet.run_until(14_000);
+    fleet.hosts[5].is_cut = false;
+    fleet.run_until(22_000);
+    let told = |wanted: fn(&note::Note) -> bool| fleet.hosts.iter().any(|host| host.notes.iter().any(wanted));
+    assert!(told(|note| matches!(note, note::Note::Silent { names } if names.contains(&"host-5".into()))));
+    assert!(told(|note| matches!(note, note::Note::Replies { peer } if *peer == registry_fleet::peer(5))));
+    assert!(fleet.hosts[5].notes.iter().any(|note| matches!(note, note::Note::CutOff { .. })));
+}
+
 /// A host is asked to stop: the others pass nothing more on to it after a second.
 #[rstest]
 fn a_host_that_leaves_is_known_to_leave(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
--- a/crates/core/tests/registry_fleet/mod.rs
+++ b/crates/core/tests/registry_fleet/mod.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng, rngs};
 use shallothub_core::{
     catalog, clock, control,
-    control::{message, mirror},
+    control::{message, mirror, note},
     plan, ratio, view,
 };
 
@@ -120,6 +120,7 @@
     pub life: u32,
     pub up: bool,
     pub views: Vec<Arc<view::View>>,
+    pub notes: Vec<note::Note>,
     pub sent_bytes: u64,
     /// The host reaches neither the registry nor another host.
     pub is_cut: bool,
@@ -174,7 +175,15 @@
         };
         for host in 0..hosts {
             let core = fleet.core(host);
-            fleet.hosts.push(Host { core, life: 0, up: true, views: Vec::new(), sent_bytes: 0, is_cut: false });
+            fleet.hosts.push(Host {
+                core,
+                life: 0,
+                up: true,
+                views: Vec::new(),
+                notes: Vec::new(),
+                sent_bytes: 0,
+                is_cut: false,
+            });
             fleet.at(1 + host as u64 % 300, Happening::Step { host, life: 0 });
         }
         fleet
@@ -329,7 +338,8 @@
             control::Output::View(view) => self.hosts[host].views.push(view),
             control::Output::Refused { faults, .. } => panic!("refused: {faults:?}"),
             control::Output::Breach(breach) => panic!("{breach:?}"),
-            control::Output::Note(_) | control::Output::Revalidated => {}
+            control::Output::Note(note) => self.hosts[host].notes.push(note),
+            control::Output::Revalidated => {}
             other => panic!("a registry has no {other:?}"),
         }
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -341,6 +341,7 @@
         note::Note::Joined { name, known } => tracing::info!(peer = %name, known, "heard of a host"),
         note::Note::CutOff { silence } => tracing::info!(silence_ms = silence.0, "hears from other hosts again"),
         note::Note::Silent { names } => tracing::info!(peers = names.join(","), "hosts do not reply"),
+        note::Note::Replies { peer } => tracing::info!(%peer, "a silent host replies again"),
         note::Note::Forgotten { known } => tracing::info!(known, "forgot silent hosts"),
         note::Note::Held { server, span } => {
             tracing::info!(%server, hold_ms = span.0, "a server is missing from the list and held");
--- a/crates/node/src/lane/note.rs
+++ b/crates/node/src/lane/note.rs
@@ -30,6 +30,7 @@
             note::Note::Ejected { server, pause } => {
                 tracing::info!(%server, pause_ms = pause.0, "a failing server is left out");
             }
+            note::Note::Restored { server } => tracing::info!(%server, "a server that was left out answers again"),
             note::Note::Paused { gap, expired } => {
                 tracing::warn!(gap_ms = gap.0, expired, "the process was stopped for a while");
             }
