--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -246,6 +246,8 @@
     Overloaded,
     /// Its deadline passed while it waited to run.
     Expired,
+    /// The one server that was asked did not answer in time.
+    TimedOut,
     /// Fewer shards than the least coverage answered.
     InsufficientCoverage,
     /// The shards were cut anew while it ran.
@@ -279,6 +281,7 @@
             Self::Overloaded => "overloaded",
             Self::Expired => "expired",
             Self::InsufficientCoverage => "insufficient_coverage",
+            Self::TimedOut => "timed_out",
             Self::Repartitioned => "repartitioned",
             Self::Revalidating => "revalidating",
             Self::DuplicateKey => "duplicate_key",
@@ -302,6 +305,7 @@
             Self::Overloaded => "This kind of request is at its limit; come back later.",
             Self::Expired => "The deadline would have passed before the request could run.",
             Self::InsufficientCoverage => "Fewer shards answered than this kind of request needs.",
+            Self::TimedOut => "The server that was asked did not answer in time.",
             Self::Repartitioned => "The shards were cut anew while the request ran; ask again.",
             Self::Revalidating => "This host woke from a pause and is checking its view; ask again.",
             Self::DuplicateKey => "A request with this key is running or ran; it was not run again.",
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -423,7 +423,8 @@
             self.finish_answered(query);
             return;
         }
-        let code = self.shortfall(query);
+        let is_one = row.parts.len() == 1;
+        let code = if is_one { event::Code::TimedOut } else { self.shortfall(query) };
         let retry_after = self.classes[row.class].retry_after();
         self.finish_unanswered(query, code, Some(retry_after.max(COME_BACK)));
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -456,6 +456,7 @@
     let late = lines(&deployment, "late").await;
     let why = late.last().and_then(|line| line["why"].as_str()).unwrap_or_default().to_owned();
     assert!(why.starts_with("letters waits for i-"), "{late:?}");
+    assert_eq!(late[late.len() - 1]["code"], "timed_out", "{late:?}");
 
     for leaf in 0..deployment.leafs.len() {
         if deployment.leafs[leaf].entry.service == "letters" {
