Do not take a dead member from those who are about to forget it

Cause: a member that is silent is forgotten after a minute, by each host at its own time, and a digest of a host that still has it made the others take it again, as new, for another minute: for ever. Shares of connections are cut by members, so each host that was replaced would have cost all others some for good.

Change: of an unknown member only word that it is alive counts.

--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -81,9 +81,13 @@
         self.rows.len() + 1
     }
 
-    /// Takes what a digest says of `member`.
+    /// Takes what a digest says of `member`. Of an unknown one that is silent or leaves nothing is kept: hosts
+    /// forget such members at different times, and would remind each other of them for ever.
     pub(super) fn hear(&mut self, now: clock::Millis, member: &message::Member) -> News {
         let Some(row) = self.rows.get_mut(&member.peer) else {
+            if member.state != message::State::Alive {
+                return News::None;
+            }
             let member = member.clone();
             let row = Row { member, changed_at: now, told: 0, unanswered: 0, asked_at: None, is_away: false };
             self.rows.insert(row.member.peer.clone(), row);
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -308,6 +308,23 @@
     assert!(fleet.hosts.iter().all(|host| !host.views.is_empty()));
 }
 
+/// A host dies for good, as thousands do in a year. It counts for shares of connections for a minute, in case it
+/// is only cut off, and must be forgotten then: hosts that forget it a moment later than others must not
+/// remind them of it, or it is a member for ever and shares shrink with each one that dies.
+#[rstest]
+fn a_dead_host_is_forgotten_for_good(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    fleet.hosts[5].is_cut = true;
+    fleet.run_until(100_000);
+    for second in 100..160 {
+        fleet.run_until(second * 1000);
+        for host in (0..hosts).filter(|&host| host != 5) {
+            let members = fleet.hosts[host].core.members().count();
+            assert_eq!(members, hosts - 2, "host {host} at {second} s");
+        }
+    }
+}
+
 /// A host is asked to stop: the others pass nothing more on to it after a second.
 #[rstest]
 fn a_host_that_leaves_is_known_to_leave(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
--- a/crates/core/tests/registry_fleet/mod.rs
+++ b/crates/core/tests/registry_fleet/mod.rs
@@ -156,6 +156,14 @@
     format_compact!("10.0.{}.{}:7000", host / 250, host % 250)
 }
 
+/// The host at an address of [`peer`].
+fn host_of(address: &str) -> Option<usize> {
+    let (ip, _) = address.split_once(':')?;
+    let mut octets = ip.split('.').skip(2);
+    let (high, low): (usize, usize) = (octets.next()?.parse().ok()?, octets.next()?.parse().ok()?);
+    Some(high * 250 + low)
+}
+
 impl Fleet {
     /// `hosts` hosts over `centres` data centres, started at once.
     pub fn new(hosts: usize, centres: usize, policy: &control::Policy, seed: u64) -> Self {
@@ -412,7 +420,7 @@
     fn send(&mut self, from: usize, to: &str, message: message::Message) {
         let bytes = (self.measure)(&message) as u64;
         self.hosts[from].sent_bytes += bytes;
-        let Some(host) = (0..self.hosts.len()).find(|&host| peer(host) == to) else {
+        let Some(host) = host_of(to).filter(|&host| host < self.hosts.len()) else {
             return;
         };
         if self.hosts[from].is_cut || self.hosts[host].is_cut {
