Let every watching host notice a lost call of the registry within three seconds

The store is silent from 5.98 to 11.08 s and never answers calls taken meanwhile. The hosts that watch for their data centre had asked with waits of up to ten seconds and noticed at 14.75 and 14.87 s; the two sentinels, which asked with waits of 1.5 s for all others, were among the five hosts that were cut off. A host that became a watcher during the silence lost its first call in the same way. The version acked at 12.1 s reached some hosts after 15.08 s. Ruled out: gossip between the hosts that were not cut off (they had nothing to tell), a slow machine (it only moves the calls by milliseconds). Change: every watching host waits so that a lost call is noticed within `control.notice` (3 s: a wait of up to 2 s and a second for the answer). Sentinels and their rank go: nothing rests on them any more.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -29,9 +29,6 @@
 
 use crate::{catalog, clock, id, invariant, mutant, plan, rendezvous, view};
 
-/// What hosts are ranked by to find the sentinels among them.
-const SENTINELS: &str = "sentinels";
-
 /// Hosts of a data centre that ask a registry in turn when it does not answer those before them in rank.
 const STAND_INS: usize = 3;
 
@@ -45,19 +42,18 @@
 pub struct Policy {
     /// Hosts of each data centre that watch the platform. Default 1.
     pub watchers: u32,
-    /// Hosts of the whole fleet that ask a registry with short waits. A call may be lost without a word, and
-    /// a host notices that only when the wait is over; others then hear of it from these. Default 2: one
-    /// may be dead.
-    pub sentinels: u32,
-    /// Longest wait of a sentinel's call, in ms. Default 1500.
-    pub sentinel_watch: clock::Millis,
+    /// Longest time until a watching host notices that a call of a registry was lost, in ms: the wait for
+    /// changes and the time for an answer. Default 3000, which leaves a second of the four that hosts have
+    /// after a registry's return to tell those that do not watch. Each watching host then makes a call in
+    /// 1.6 s where nothing changes.
+    pub notice: clock::Millis,
     /// Children of a host in the tree by which changes are pushed. Default 8.
     pub fanout: u32,
     /// Time between two exchanges of digests, in ms. Default 1000.
     pub gossip: clock::Millis,
     /// Hosts asked in each exchange. Default 2.
     pub gossip_peers: u32,
-    /// Longest wait of a watch before the platform answers that nothing changed, in ms.
+    /// Longest wait of a watch of a manifest before the platform answers that nothing changed, in ms.
     /// Default 10000.
     pub watch: clock::Millis,
     /// Age of the last confirmation after which a host reads the platform itself, in ms.
@@ -82,8 +78,7 @@
     fn default() -> Self {
         Self {
             watchers: 1,
-            sentinels: 2,
-            sentinel_watch: clock::Millis(1500),
+            notice: clock::Millis(3000),
             fanout: 8,
             gossip: clock::Millis(1000),
             gossip_peers: 2,
@@ -229,6 +224,8 @@
         after: u64,
         /// How long the registry may wait for a change, in ms.
         wait: clock::Millis,
+        /// Time after the wait at which a call that is not answered is given up, in ms.
+        patience: clock::Millis,
     },
     /// Log an event that changes what this host believes.
     Note(note::Note),
@@ -331,8 +328,6 @@
     ranked: Vec<CompactString>,
     /// Addresses of the first ones, without this host.
     watcher_peers: Vec<CompactString>,
-    /// Whether this host is one of those that ask the registry most often.
-    is_sentinel: bool,
     /// Whether it asks in place of others, whom the registry turns away.
     is_stand_in: bool,
     members: member::Members,
@@ -373,7 +368,6 @@
             peers: IndexMap::new(),
             ranked: Vec::new(),
             watcher_peers: Vec::new(),
-            is_sentinel: false,
             is_stand_in: false,
             members: member::Members::default(),
             heard_at: now,
@@ -483,7 +477,7 @@
     /// Whether this host watches the platform for its data centre.
     pub fn is_watcher(&self) -> bool {
         let most = self.policy.watchers as usize;
-        self.is_sentinel || self.is_stand_in || self.ranked.iter().take(most).any(|name| *name == self.identity.name)
+        self.is_stand_in || self.ranked.iter().take(most).any(|name| *name == self.identity.name)
     }
 
     /// Why each server of the selector's service is reached or not; `None` if there is no such
@@ -661,19 +655,13 @@
     /// The same where hosts are known only from each other.
     fn refresh_from_members(&mut self) {
         self.ranked.push(self.identity.name.clone());
-        let mut all = vec![self.identity.name.clone()];
         for host in self.members.hosts() {
-            if host.state == plan::State::Live {
-                all.push(host.name.clone());
-            }
             if host.state == plan::State::Live && host.data_centre == self.identity.data_centre {
                 self.ranked.push(host.name.clone());
             }
             self.peers.insert(host.peer.clone(), host);
         }
         rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
-        rendezvous::rank(SENTINELS, &mut all);
-        self.is_sentinel = all.iter().take(self.policy.sentinels as usize).any(|name| *name == self.identity.name);
         let most = self.policy.watchers as usize;
         let away = self.members.away();
         let place = self.ranked.iter().position(|name| *name == self.identity.name).unwrap_or_default();
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -23,6 +23,9 @@
 const STAND_IN_PAUSE: f64 = 2.0;
 /// Least pause after a call that failed late.
 const RETRY_LEAST: clock::Millis = clock::Millis(50);
+/// Longest time for an answer beyond the wait for changes. Answers take milliseconds, and some tenths of a
+/// second when the registry is slow; what takes longer is lost, and the sooner it is asked for again the better.
+const ANSWER_PATIENCE: clock::Millis = clock::Millis(1000);
 /// Part of the longest wait that a call waits at least. A change answers the calls of all hosts at once; if
 /// the next ones waited equally long, all would be lost together to a registry that goes away for a moment.
 const WAIT_LEAST: f64 = 0.6;
@@ -77,13 +80,14 @@
         self.follow(wait, false);
     }
 
-    /// How long the next call may wait for changes.
+    /// How long the next call may wait for changes. A registry that falls silent takes calls that it never
+    /// answers, and each host must notice that by itself: whom else it could hear of it from may be cut off.
     fn wait(&mut self) -> clock::Millis {
         // While the registry does not answer, a long wait would only hide that it is back.
         if !self.is_watcher() || self.registry.held.is_away() {
             return clock::Millis::ZERO;
         }
-        let most = if self.is_sentinel { self.policy.sentinel_watch } else { self.policy.watch };
+        let most = self.policy.notice - ANSWER_PATIENCE;
         most.scale(self.random.random_range(WAIT_LEAST..=1.0))
     }
 
@@ -118,7 +122,8 @@
         registry.must_look = false;
         registry.called_at = self.now;
         registry.call = Call::Changes { ticket: registry.tickets, confirms };
-        self.outputs.push(Output::Follow { ticket: registry.tickets, after: registry.mirror.at(), wait });
+        let (ticket, after) = (registry.tickets, registry.mirror.at());
+        self.outputs.push(Output::Follow { ticket, after, wait, patience: ANSWER_PATIENCE });
     }
 
     /// After a pause the call on its way may be dead: asks anew, without waiting for changes.
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -70,7 +70,7 @@
         for (address, host) in &self.peers {
             let is_live = host.state == crate::plan::State::Live;
             let is_near = host.data_centre == self.identity.data_centre;
-            let is_told = is_torn || (self.is_sentinel || is_near) && !self.watcher_peers.contains(address);
+            let is_told = is_torn || is_near && !self.watcher_peers.contains(address);
             if is_live && is_told {
                 others.push(address.clone());
             }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -434,3 +434,45 @@
         assert!(!fleet.may_use(host, "3-0"), "host {host} still uses a leaf that leaves");
     }
 }
+
+/// Right after a change, on which all that wait for one ask again, the registry falls silent for five
+/// seconds: it takes calls and answers none of them, not even later.
+/// Meanwhile some hosts are cut off from everything for longer, whichever they are, and a change is made just
+/// after the registry is back. Callers of the other hosts met the configuration before it for up to seven
+/// seconds: those that ask with short waits were among the cut, and the calls of the rest were lost with
+/// waits of ten seconds.
+#[rstest]
+fn a_silent_registry_and_cut_hosts_do_not_keep_a_change_away(
+    #[values(6, 8, 9, 24)] hosts: usize,
+    #[values(1, 2)] share_of_three: usize,
+    #[values(-300, 400, 1400, 2700, 4900)] cut_after: i64,
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
+    const SILENT: u64 = 9000;
+    const BACK: u64 = SILENT + 5100;
+    let mut fleet = started(hosts, 3, seed);
+    let cut_at = SILENT.saturating_add_signed(cut_after);
+    fleet.run_until(SILENT - 400);
+    fleet.put("leaf/7-0", "s7 dc-1 leaving");
+    let mut left = fleet.draw(hosts);
+    let cut = left.split_off(hosts - hosts * share_of_three / 3);
+    for at in [cut_at.min(SILENT), cut_at.max(SILENT)] {
+        fleet.run_until(at);
+        if at == SILENT {
+            fleet.set_mute(true);
+        }
+        if at == cut_at {
+            cut.iter().for_each(|&host| fleet.hosts[host].is_cut = true);
+        }
+    }
+    fleet.run_until(BACK);
+    fleet.set_mute(false);
+    fleet.run_until(BACK + 900);
+    fleet.put("config", "2 20");
+    fleet.put("leaf/3-0", "s3 dc-0 leaving");
+    fleet.run_until(BACK + 900 + 2900);
+    for host in left {
+        assert!(!fleet.may_use(host, "3-0"), "host {host} still uses a leaf that leaves");
+        assert_eq!(fleet.view(host).map(|view| view.number), Some(2), "host {host} has the configuration before");
+    }
+}
--- a/crates/core/tests/registry_fleet/mod.rs
+++ b/crates/core/tests/registry_fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use compact_str::{CompactString, format_compact};
 use indexmap::{IndexMap, IndexSet};
-use rand::{Rng, SeedableRng, rngs};
+use rand::{Rng, SeedableRng, rngs, seq::SliceRandom};
 use shallothub_core::{
     catalog, clock, control,
     control::{message, mirror, note},
@@ -283,6 +283,13 @@
         self.at(self.now + down, Happening::Step { host, life });
     }
 
+    /// All hosts in a random order.
+    pub fn draw(&mut self, hosts: usize) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..hosts).collect();
+        order.shuffle(&mut self.random);
+        order
+    }
+
     /// Asks a host's process to stop.
     pub fn leave(&mut self, host: usize) {
         self.step(host, control::Input::Leaving);
@@ -331,11 +338,11 @@
                 let took = if self.store.is_mute { PAGE_PATIENCE } else { 4 };
                 self.at(self.now + took, Happening::Input { host, life, input });
             }
-            control::Output::Follow { ticket, after, wait } => {
+            control::Output::Follow { ticket, after, wait, patience } => {
                 self.store.calls += 1;
                 self.waiting.retain(|waiting| waiting.host != host);
                 let is_lost = self.hosts[host].is_cut || self.store.is_mute;
-                let until = self.now + wait.0 + if is_lost { PATIENCE } else { 0 };
+                let until = self.now + wait.0 + if is_lost { patience.0 } else { 0 };
                 self.waiting.push(Waiting { is_lost, host, life, ticket, after, until });
                 self.end_watches();
             }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -141,7 +141,7 @@
             control::Output::ReadPart { kind, key } => self.read_part(kind, key),
             control::Output::Reconnect { to } => self.senders.forget(&to),
             control::Output::List { after } => self.list(after),
-            control::Output::Follow { ticket, after, wait } => self.follow(ticket, after, wait),
+            control::Output::Follow { ticket, after, wait, patience } => self.follow(ticket, after, wait, patience),
             control::Output::Note(note) => log(&note),
             control::Output::Send { to, message } => {
                 let bytes = self.senders.send(&to, &message);
@@ -250,7 +250,7 @@
         });
     }
 
-    fn follow(&mut self, ticket: u64, after: u64, wait: clock::Millis) {
+    fn follow(&mut self, ticket: u64, after: u64, wait: clock::Millis, patience: clock::Millis) {
         let Some(registry) = self.shared.interface.registry else {
             return;
         };
@@ -263,8 +263,7 @@
         let follower = Rc::clone(&self.follower);
         let task = task::spawn_local(async move {
             let mut client = follower.take();
-            let patience = platform::WATCH_PATIENCE + time::duration(wait);
-            let answer = client.get(address, &path, patience, REGISTRY_BYTES).await;
+            let answer = client.get(address, &path, time::duration(wait + patience), REGISTRY_BYTES).await;
             let changes = match answer {
                 Ok(answer) => changes(registry, &answer),
                 Err(error) => {
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -22,9 +22,6 @@
 
 /// Longest time for a call that reads a value or a page, which may be a megabyte on a thin link.
 pub(crate) const READ_PATIENCE: std_time::Duration = std_time::Duration::from_secs(2);
-/// Longest time for a call beyond the wait of a watch. Answers take milliseconds, and some tenths of a second
-/// when the platform is slow; what takes longer is lost, and the sooner it is asked for again the better.
-pub(crate) const WATCH_PATIENCE: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// Why there is no value.
 #[derive(Debug, Snafu)]
