--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -12,6 +12,7 @@
 
 mod gossip;
 mod hold;
+mod life;
 mod member;
 pub mod message;
 pub mod mirror;
@@ -342,6 +343,7 @@
     /// This host's own turn as a member.
     turn: u64,
     registry: registry::Registry,
+    lives: life::Lives,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     standing: Standing,
@@ -377,6 +379,7 @@
             is_leaving: false,
             turn: 0,
             registry: registry::Registry::default(),
+            lives: life::Lives::default(),
             gossip_at: now,
             started_at: now,
             standing: match reader.source {
@@ -580,6 +583,9 @@
         let shelf = &mut self.shelves[kind.index()];
         shelf.current.adopt(manifest);
         shelf.parsed.retain(|digest, _| shelf.current.texts.contains_key(digest));
+        if kind == catalog::Kind::Hosts {
+            self.lives.take(self.now, shelf.parsed.values().map(|part| &**part));
+        }
         shelf.stamp = stamp;
         if shelf.newer.as_ref().is_some_and(|newer| newer.stamp <= stamp) {
             shelf.newer = None;
@@ -608,6 +614,7 @@
         let stamps = [self.shelves[0].stamp, self.shelves[1].stamp];
         let parts = self.shelves.iter().flat_map(|shelf| shelf.parsed.values()).map(|part| &**part);
         let held = self.registry.held.leafs();
+        let reborn = self.lives.reborn();
         let members = match self.reader.source {
             Source::Documents => 0,
             Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
@@ -621,7 +628,8 @@
             is_open: true,
         };
         let is_settled = self.standing == Standing::Settled;
-        let fleet = plan::Fleet { this: Some(&this), members, is_settled, relays: &relays, held: &held };
+        let fleet =
+            plan::Fleet { this: Some(&this), members, is_settled, relays: &relays, held: &held, reborn: &reborn };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -25,6 +25,8 @@
     pub is_settled: bool,
     /// Servers whose entry is missing but that still count.
     pub held: &'l [Leaf],
+    /// Servers whose listed entry is of an earlier life, as their present one described itself.
+    pub reborn: &'l [Leaf],
 }
 
 /// Builds the view of accepted parts. Leaving marks are added to `registry` and taken from it, so
@@ -63,6 +65,9 @@
     for leaf in fleet.held {
         leafs.entry(&leaf.name).or_insert(leaf);
     }
+    for leaf in fleet.reborn {
+        leafs.insert(&leaf.name, leaf);
+    }
     let mut view = view::View {
         stamp: stamps[0],
         hosts_revision: stamps[1],
@@ -107,15 +112,15 @@
         let share = shares.get(&leaf.service).copied().unwrap_or(equal);
         let id = registry.intern(&leaf.name);
         if leaf.leaving {
-            registry.mark_leaving(id, 0);
+            registry.mark_leaving(id, leaf.incarnation);
         }
         let server = view::Server {
             name: leaf.name.clone(),
             address: leaf.address.clone(),
-            incarnation: 0,
+            incarnation: leaf.incarnation,
             connections: accepted,
             slots: leaf.slots,
-            leaving: registry.is_leaving(id, 0),
+            leaving: registry.is_leaving(id, leaf.incarnation),
             distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
             own_share: Some(if fleet.is_settled { share } else { share.min(UNSETTLED_SHARE) }),
             is_peer: false,
--- a/crates/core/src/plan/routing.rs
+++ b/crates/core/src/plan/routing.rs
@@ -78,7 +78,7 @@
 /// A server that registered itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leaf {
-    /// Unique for each start of a server.
+    /// Unique among servers; one that starts again may keep it.
     pub name: CompactString,
     /// Its service.
     pub service: CompactString,
@@ -90,6 +90,8 @@
     pub slots: u32,
     /// Whether it finishes what it has and goes.
     pub leaving: bool,
+    /// Tells two lives of a server under one name apart: the later one is greater. 0 if it does not say.
+    pub incarnation: u64,
 }
 
 /// Faults of routes. Two routes of one name, host and prefix would each be right half of the time.
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -108,6 +108,8 @@
     Foreign,
     /// The answer says neither what came of it nor that it did not run.
     Unusable,
+    /// The server has started anew since, and its life before cannot answer any more.
+    Restarted,
 }
 
 impl Loss {
@@ -117,6 +119,7 @@
             Self::Broken => "the connection broke before the whole answer was here",
             Self::Foreign => "the answer is to another request",
             Self::Unusable => "the answer cannot be used",
+            Self::Restarted => "the server has started anew since",
         }
     }
 }
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -196,6 +196,21 @@
         self.retry(row.query, row.part, false, false);
     }
 
+    /// The server of an attempt started anew, which says nothing bad of its new life.
+    pub(super) fn on_restarted(&mut self, attempt: id::Attempt) {
+        let Some(row) = self.attempts.remove(attempt.0) else {
+            return;
+        };
+        self.stats.lost += 1;
+        self.note_failed(row, event::Reply::Lost(event::Loss::Restarted));
+        if let Some(query) = self.queries.get_mut(row.query.0) {
+            query.parts[row.part as usize].remove_live(attempt);
+            query.may_have_run = true;
+        }
+        self.release(row.server);
+        self.retry(row.query, row.part, false, false);
+    }
+
     fn note_failure(&mut self, server: id::Server) {
         let must_go = self.servers[server.index()].on_failure(self.now, &self.policy);
         let is_out = self.servers[server.index()].is_ejected(self.now);
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -234,36 +234,63 @@
         let usual = 1.0 / f64::from(self.view.hosts.max(1));
         self.fleet.set_parts(usual, &self.view.parts, self.lane.count.max(1));
         self.servers.resize_with(self.view.servers.len().max(self.servers.len()), Default::default);
+        let mut reborn = Vec::new();
         for index in 0..self.servers.len() {
-            self.refresh_server(id::Server(index as u32));
+            let server = id::Server(index as u32);
+            if self.refresh_server(server) {
+                reborn.push(server);
+            }
+        }
+        for server in reborn {
+            self.end_life(server);
         }
         let servers = self.view.servers.iter().flatten().count();
         let leaving = self.view.servers.iter().flatten().filter(|server| server.leaving).count();
         self.note(note::Note::View { servers, leaving });
     }
 
-    fn refresh_server(&mut self, id: id::Server) {
+    /// Takes what the view in force says of a server. `true` if it has started anew.
+    fn refresh_server(&mut self, id: id::Server) -> bool {
         let row = &mut self.servers[id.index()];
         let Some(published) = self.view.server(id) else {
             row.share = 0;
             self.outputs.push(Output::Trim { server: id, keep: 0 });
             self.requeue(id);
-            return;
+            return false;
         };
         let share = self.lane.part(published.share(self.view.hosts), id);
         let is_changed = share != row.share;
         row.share = share;
         row.slots = published.slots.max(1);
-        if row.incarnation != published.incarnation {
+        let is_reborn = row.incarnation != published.incarnation;
+        if is_reborn {
             row.restart(published.incarnation);
+            // Connections to its life before lead nowhere.
+            self.outputs.push(Output::Trim { server: id, keep: 0 });
         }
-        if is_changed {
+        if is_changed || is_reborn {
             self.outputs.push(Output::Trim { server: id, keep: share });
         }
         if published.leaving {
             self.requeue(id);
         }
         self.pump(id);
+        is_reborn
+    }
+
+    /// What is in flight at a server's life before will not be answered: other replicas are asked at once, and
+    /// callers whose request may run only once are told, who would else wait for their deadline.
+    fn end_life(&mut self, server: id::Server) {
+        let lost: Vec<id::Attempt> =
+            self.attempts.iter().filter(|(_, row)| row.server == server).map(|(key, _)| id::Attempt(key)).collect();
+        for attempt in lost {
+            // The end of another one may have ended its query.
+            if self.attempts.get(attempt.0).is_none() {
+                continue;
+            }
+            self.outputs.push(Output::Cancel { attempt });
+            self.on_restarted(attempt);
+        }
     }
 
     fn on_hang_up(&mut self, caller: id::Caller) {
--- /dev/null
+++ b/crates/core/tests/reborn.rs
@@ -0,0 +1,166 @@
+//! A server starts again under the name that it had, and knows nothing of before.
+
+#[expect(unreachable_pub, reason = "a module of this test alone")]
+mod one_leaf;
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use rstest::rstest;
+use shallothub_core::{
+    clock, id,
+    traffic::{self, event, policy},
+    view,
+};
+
+/// The view of one leaf in this life, with a sister if there are two, as the list of this revision says.
+fn view(incarnation: u64, revision: u64, is_idempotent: bool, leafs: usize) -> event::Input {
+    let mut view = view::View::clone(&one_leaf::view(8));
+    let mut registry = view::Registry::default();
+    let first = view.servers[0].clone().expect("a leaf");
+    view.servers.clear();
+    let class = view.classes.get_mut("ask").expect("a class");
+    class.idempotent = is_idempotent;
+    class.branches[0].targets[0].replicas.clear();
+    for leaf in 0..leafs {
+        let name = compact_str::format_compact!("leaf{leaf}");
+        class.branches[0].targets[0].replicas.push(registry.intern(&name));
+        let incarnation = if leaf == 0 { incarnation } else { 1 };
+        view.servers.push(Some(view::Server { name, incarnation, ..first.clone() }));
+    }
+    view.hosts_revision = view::Stamp { version: revision, digest: 1 };
+    event::Input::View(Arc::new(view))
+}
+
+fn core() -> traffic::Core {
+    let policy = policy::Policy { score_band: 1.5, ..policy::Policy::default() };
+    traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1))
+}
+
+fn request(caller: u64) -> event::Input {
+    let class = CompactString::const_new("ask");
+    event::Input::Request(event::Request {
+        caller: id::Caller(caller),
+        class,
+        patience: None,
+        key: None,
+        relayed: None,
+    })
+}
+
+fn dispatched(outputs: &[event::Output]) -> Vec<&event::Dispatch> {
+    let mut dispatched = Vec::new();
+    for output in outputs {
+        if let event::Output::Dispatch(dispatch) = output {
+            dispatched.push(dispatch);
+        }
+    }
+    dispatched
+}
+
+fn answers(outputs: &[event::Output]) -> Vec<(event::Outcome, event::Code)> {
+    let answer = |output: &event::Output| match output {
+        event::Output::Answer(answer) => Some((answer.outcome, answer.code)),
+        _ => None,
+    };
+    outputs.iter().filter_map(answer).collect()
+}
+
+/// A request at `now`; its attempts are answered after 5 ms, or lost if they go to the first leaf while it `hangs`.
+/// How many go there.
+fn serve(core: &mut traffic::Core, now: u64, caller: u64, hangs: bool) -> usize {
+    let now = clock::Millis(now);
+    let mut outputs = core.step(now, [request(caller)]);
+    let mut to_first = 0;
+    while let Some(output) = outputs.pop() {
+        let event::Output::Dispatch(dispatch) = output else {
+            continue;
+        };
+        let is_first = dispatch.server.0 == 0;
+        to_first += usize::from(is_first);
+        let snapshot = view::Snapshot { epoch: 1, version: 1 };
+        let part = event::Part { snapshot, held: None, hits: 1, load: None, queue: None };
+        let reply =
+            if is_first && hangs { event::Reply::Lost(event::Loss::Broken) } else { event::Reply::Answered(part) };
+        let then = now + clock::Millis(5);
+        outputs.extend(core.step(then, [event::Input::Reply { attempt: dispatch.attempt, reply }]));
+    }
+    to_first
+}
+
+/// A leaf hung, and was passed over and left out for it. It is started again, well, and gets work at once: what
+/// was learned of its life before says nothing of this one.
+#[test]
+fn a_leaf_that_starts_again_is_not_judged_by_its_life_before() {
+    let mut core = core();
+    core.step(clock::Millis(1), [view(1, 1, true, 2)]);
+    let to_first: Vec<usize> = (1..80).map(|caller| serve(&mut core, caller * 10, caller, true)).collect();
+    assert_eq!(to_first[60..].iter().sum::<usize>(), 0, "a leaf that hangs is not passed over");
+    core.step(clock::Millis(800), [view(2, 2, true, 2)]);
+    let to_first: usize = (100..110).map(|caller| serve(&mut core, caller * 10, caller, false)).sum();
+    assert!(to_first > 2, "the new life gets nothing");
+}
+
+/// A caller's search is at a leaf that loses power and starts again. Nobody will answer it; the other replica is
+/// asked as soon as the new life is known, not when the search has been silent for long.
+#[test]
+fn what_was_in_flight_goes_to_another_replica_at_once() {
+    let mut core = core();
+    core.step(clock::Millis(1), [view(1, 1, true, 2)]);
+    let outputs = core.step(clock::Millis(10), [request(1)]);
+    let first = dispatched(&outputs)[0].server;
+    let (of_first, of_second) = if first.0 == 0 { (2, 1) } else { (1, 2) };
+    let mut view = view(of_first, 2, true, 2);
+    if let event::Input::View(view) = &mut view
+        && let Some(server) = &mut Arc::get_mut(view).expect("one owner").servers[1]
+    {
+        server.incarnation = of_second;
+    }
+    let outputs = core.step(clock::Millis(20), [view]);
+    assert!(outputs.iter().any(|output| matches!(output, event::Output::Cancel { .. })));
+    let again = dispatched(&outputs);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].server, first);
+    assert!(answers(&outputs).is_empty());
+}
+
+/// The same with a letter, which may be sent once only. Its sender would have waited for the whole deadline;
+/// it is told at once that nobody knows, and the letter does not go to the new life.
+#[test]
+fn a_letter_in_flight_is_not_sent_again() {
+    let mut core = core();
+    core.step(clock::Millis(1), [view(1, 1, false, 1)]);
+    assert_eq!(dispatched(&core.step(clock::Millis(10), [request(1)])).len(), 1);
+    let outputs = core.step(clock::Millis(20), [view(2, 2, false, 1)]);
+    assert!(dispatched(&outputs).is_empty());
+    assert_eq!(answers(&outputs), [(event::Outcome::Unknown, event::Code::AttemptLost)]);
+}
+
+/// Connections that were kept to the life before lead nowhere, or to a process that resets them: a letter that
+/// is sent on one comes to an unknown end.
+#[test]
+fn connections_to_the_life_before_are_closed() {
+    let mut core = core();
+    core.step(clock::Millis(1), [view(1, 1, true, 1)]);
+    let outputs = core.step(clock::Millis(20), [view(2, 2, true, 1)]);
+    let trims: Vec<u32> = outputs
+        .iter()
+        .filter_map(|output| match output {
+            event::Output::Trim { keep, .. } => Some(*keep),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(trims, [0, 8]);
+}
+
+/// The same life in a newer list changes nothing.
+#[rstest]
+#[case::without_a_birth(0)]
+#[case::with_one(1)]
+fn a_newer_list_of_the_same_life_ends_nothing(#[case] incarnation: u64) {
+    let mut core = core();
+    core.step(clock::Millis(1), [view(incarnation, 1, true, 1)]);
+    core.step(clock::Millis(10), [request(1)]);
+    let outputs = core.step(clock::Millis(20), [view(incarnation, 2, true, 1)]);
+    assert!(!outputs.iter().any(|output| matches!(output, event::Output::Trim { .. } | event::Output::Cancel { .. })));
+}
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -476,3 +476,28 @@
         assert_eq!(fleet.view(host).map(|view| view.number), Some(2), "host {host} has the configuration before");
     }
 }
+
+/// A leaf says that it leaves, dies, and starts again under its id: the mark of the life before must not keep
+/// work from this one. And when this one leaves, what the life before wrote, and the registry got late, must not
+/// bring it back.
+#[rstest]
+fn a_mark_holds_for_one_life_of_a_leaf(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    let all = |fleet: &Fleet, may: bool| (0..hosts).all(|host| fleet.may_use(host, "3-0") == may);
+    fleet.put("leaf/3-0", "s3 dc-3 ready born=100");
+    fleet.put("leaf/3-0", "s3 dc-3 leaving born=100");
+    fleet.run_until(11_000);
+    assert!(all(&fleet, false), "a leaf that leaves is used");
+    fleet.put("leaf/3-0", "s3 dc-3 ready born=200");
+    fleet.run_until(14_000);
+    assert!(all(&fleet, true), "the mark of the life before binds this one");
+    fleet.put("leaf/3-0", "s3 dc-3 leaving born=100");
+    fleet.run_until(17_000);
+    assert!(all(&fleet, true), "a late word of the life before binds this one");
+    fleet.put("leaf/3-0", "s3 dc-3 leaving born=200");
+    fleet.run_until(20_000);
+    assert!(all(&fleet, false), "a leaf that leaves is used");
+    fleet.put("leaf/3-0", "s3 dc-3 ready born=100");
+    fleet.run_until(23_000);
+    assert!(all(&fleet, false), "a late word of the life before brings it back");
+}
--- a/crates/core/tests/registry_fleet/mod.rs
+++ b/crates/core/tests/registry_fleet/mod.rs
@@ -2,7 +2,7 @@
 //! that read it and talk to each other, and the ways in which both go away.
 //!
 //! Entries are written in a format of this test: `config` holds `number shards`, and `leaf/NAME` holds
-//! `service data_centre state`.
+//! `service data_centre state`, after which may stand `born=` and a number.
 
 use std::{cmp, collections::BinaryHeap, sync::Arc};
 
@@ -26,12 +26,13 @@
     }
 }
 
-/// All but the fourth word, which changes without meaning anything.
+/// The first three words and the birth; another word changes without meaning anything.
 fn essence(key: &str, text: Arc<str>) -> Arc<str> {
     if key == "config" {
         return text;
     }
-    let words: Vec<&str> = text.split(' ').take(3).collect();
+    let words = text.split(' ').enumerate().filter(|(place, word)| *place < 3 || word.starts_with("born="));
+    let words: Vec<&str> = words.map(|(_, word)| word).collect();
     Arc::from(words.join(" "))
 }
 
@@ -59,6 +60,7 @@
         address: format_compact!("{key}:80"),
         slots: 2,
         leaving: word() == "leaving",
+        incarnation: word().strip_prefix("born=").and_then(|born| born.parse().ok()).unwrap_or_default(),
     }))
 }
 
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -129,6 +129,7 @@
         let id = format_compact!("i-{}", self.started);
         self.started += 1;
         let entry = plan::Leaf {
+            incarnation: 0,
             name: id.clone(),
             service: service.into(),
             data_centre: "here".into(),
