Tell from all hosts' logs why requests were not answered whole and in time

Cause: the users ask what binds, by kind of request, window and reason. `shallotctl explain` knew one node's last requests; a request that was passed on left its reasons on another host's log, and nobody put the two together. Late answers did not say what they had waited for. Answers carry `late_ms`, and late ones the part that came last.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -138,6 +138,7 @@
             is_placing: false,
             pending_hint: 0,
             may_have_run: false,
+            last: None,
             restarts: 0,
             saw_epoch: None,
             cost: event::Cost::default(),
@@ -289,6 +290,7 @@
         row.parts = vec![query::Part::default(); parts];
         row.groups.clear();
         row.failed = 0;
+        row.last = None;
         row.want = None;
         row.is_placing = true;
         let count = parts as u64;
@@ -365,6 +367,7 @@
             outcome,
             code,
             why,
+            late: None,
             snapshot: None,
             contributed: Vec::new(),
             missing: Vec::new(),
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -342,6 +342,8 @@
     pub code: Code,
     /// What decided it, for the log.
     pub why: why::Why,
+    /// How long after its aim it leaves; `None` if it is in time.
+    pub late: Option<clock::Millis>,
     /// The one snapshot of all parts; `None` unless answered.
     pub snapshot: Option<view::Snapshot>,
     /// The shards in the answer, each with the attempt whose body is its part.
--- a/crates/core/src/traffic/finish.rs
+++ b/crates/core/src/traffic/finish.rs
@@ -94,10 +94,12 @@
 
     fn end(&mut self, query: id::Query, ending: Ending) {
         let Ending { outcome, code, mut why, retry_after, snapshot, contributed, missing } = ending;
-        let waits = code != event::Code::Ok && why == why::Why::Plain;
-        if let Some(row) = self.queries.get(query.0).filter(|_| waits) {
-            let silent = self.silent(row);
-            why = if silent.is_empty() { why } else { why::Why::Silent(silent) };
+        let mut late = None;
+        if let Some(row) = self.queries.get(query.0) {
+            late = self.late(row).filter(|_| outcome == event::Outcome::Answered);
+            if why == why::Why::Plain && (code != event::Code::Ok || late.is_some()) {
+                why = self.waited_for(row);
+            }
         }
         let Some(row) = self.queries.remove(query.0) else {
             return;
@@ -118,6 +120,7 @@
             outcome,
             code,
             why,
+            late,
             snapshot,
             contributed,
             missing,
@@ -154,6 +157,30 @@
         class.on_end(self.now, took, is_good, self.policy.running_ceiling);
     }
 
+    /// How long after its aim an answer that leaves now is.
+    fn late(&self, row: &query::Query) -> Option<clock::Millis> {
+        row.selector().aim?;
+        let aim = row.settle_at? + self.policy.aim_margin;
+        (self.now > aim).then(|| self.now.since(aim))
+    }
+
+    /// What an answer still waits for, or waited for last.
+    fn waited_for(&self, row: &query::Query) -> why::Why {
+        let silent = self.silent(row);
+        if !silent.is_empty() {
+            return why::Why::Silent(silent);
+        }
+        let Some((part, server, sent)) = row.last else {
+            return why::Why::Plain;
+        };
+        why::Why::Last {
+            shard: row.target(part).shard.clone(),
+            server: row.view.server(server).map(|server| server.name.clone()).unwrap_or_default(),
+            sent: sent.since(row.arrived),
+            took: self.now.since(sent),
+        }
+    }
+
     /// The shards whose part is not in an answer and did not fail: who is waited for, and since when.
     fn silent(&self, row: &query::Query) -> Vec<why::Silent> {
         let mut silent = Vec::new();
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -58,6 +58,7 @@
             return;
         };
         query.may_have_run = true;
+        query.last = Some((row.part, row.server, row.sent));
         query.via = via;
         let epoch = query.selector().epoch;
         if part.snapshot.epoch != epoch {
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -144,6 +144,8 @@
     pub(crate) pending_hint: usize,
     /// Whether any attempt may have run.
     pub(crate) may_have_run: bool,
+    /// The attempt whose answer came last: its part, its server, and when it was sent.
+    pub(crate) last: Option<(u32, id::Server, clock::Millis)>,
     pub(crate) restarts: u8,
     pub(crate) saw_epoch: Option<u64>,
     pub(crate) cost: event::Cost,
--- a/crates/core/src/traffic/why.rs
+++ b/crates/core/src/traffic/why.rs
@@ -69,6 +69,17 @@
     },
     /// Attempts without a reply when the answer left.
     Silent(Vec<Silent>),
+    /// The part that came last.
+    Last {
+        /// Its shard.
+        shard: CompactString,
+        /// The server that gave it.
+        server: CompactString,
+        /// Time from the request to the attempt.
+        sent: clock::Millis,
+        /// What the attempt took.
+        took: clock::Millis,
+    },
 }
 
 /// A shard without a server that takes new work.
@@ -120,6 +131,9 @@
             }
             Self::Late { patience } => write!(f, "the caller gives {patience}"),
             Self::Paused { ago } => write!(f, "the process went on {ago} ago, and its view is not confirmed"),
+            Self::Last { shard, server, sent, took } => {
+                write!(f, "the last part was {shard} from {server}, asked after {sent}, which took {took}")
+            }
             Self::Silent(rows) => {
                 for (place, row) in rows.iter().take(NAMED).enumerate() {
                     let comma = if place > 0 { ", " } else { "" };
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,6 +1,6 @@
 //! The command line of `shallotctl`.
 
-use std::{fs, net, path, time::Duration};
+use std::{fmt, fs, io, io::Write, net, path, time::Duration};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use compact_str::CompactString;
@@ -8,7 +8,7 @@
 use shallothub_node::{run as node_run, shared};
 use snafu::ResultExt;
 
-use crate::{client, documents, error, load};
+use crate::{account, client, documents, error, load, logs, trace};
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -55,10 +55,36 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about("Tell which servers a selector reaches and why not the others, or what became of a query")
-        .arg(node())
+        .about("Tell which servers a selector reaches, what became of a query, or what all hosts' logs say")
+        .arg(node().required(false).required_unless_present("logs"))
         .arg(Arg::new("selector").long("selector").value_name("NAME").conflicts_with("query").help("A selector"))
         .arg(Arg::new("query").long("query").value_name("NAME").help("A query, as its answer named it"))
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("PATH")
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .conflicts_with_all(["node", "selector", "query"])
+                .value_parser(value_parser!(path::PathBuf))
+                .help("Logs, one file a host, or directories of them: why requests were not answered whole in time"),
+        )
+        .arg(
+            Arg::new("request")
+                .long("request")
+                .value_name("NAME")
+                .requires("logs")
+                .help("One request, as its caller named it: its way through the logs, from arrival to cause"),
+        )
+        .arg(
+            Arg::new("window")
+                .long("window")
+                .value_name("SECONDS")
+                .requires("logs")
+                .default_value("2")
+                .value_parser(value_parser!(u64).range(1..=86_400))
+                .help("Length of the spans of time that are told apart"),
+        )
 }
 
 fn status() -> Command {
@@ -151,6 +177,9 @@
 }
 
 async fn run_explain(matches: &ArgMatches) -> Result<(), error::Error> {
+    if let Some(paths) = matches.get_many::<path::PathBuf>("logs") {
+        return explain_logs(&logs::find(&paths.cloned().collect::<Vec<_>>())?, matches);
+    }
     let Some(&address) = addresses(matches).first() else {
         return error::ArgumentSnafu { detail: "give --node IP:PORT" }.fail();
     };
@@ -178,6 +207,41 @@
     Ok(())
 }
 
+fn explain_logs(found: &[logs::Log], matches: &ArgMatches) -> Result<(), error::Error> {
+    let Some(request) = text(matches, "request") else {
+        let seconds: u64 = matches.get_one("window").copied().unwrap_or(1);
+        let mut account = account::Account::new(seconds * 1000);
+        for log in found {
+            log.read(|line, is_whole| account.take(&log.host, line, is_whole))?;
+        }
+        account.finish();
+        return print(&account);
+    };
+    let mut trace = trace::Trace::new(request);
+    for log in found {
+        log.read(|line, _| trace.take(&log.host, line))?;
+    }
+    if !trace.is_found() {
+        let detail =
+            format!("`{request}` is in none of the {} logs; is the log of the host that took it there?", found.len());
+        return error::ArgumentSnafu { detail }.fail();
+    }
+    for log in found {
+        log.read(|line, _| trace.take_around(&log.host, line))?;
+    }
+    print(&trace)
+}
+
+/// Prints what may be long. A reader that has seen enough, such as a pager, is no fault.
+fn print(text: &dyn fmt::Display) -> Result<(), error::Error> {
+    match write!(io::stdout().lock(), "{text}") {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+            error::WriteSnafu { detail: error.to_string() }.fail()
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn run_status(matches: &ArgMatches) -> Result<(), error::Error> {
     for address in addresses(matches) {
         let response = client::get(address, "/status").await?;
