Bring catalogs to each data centre a few times, and talk mostly to hosts nearby

Cause: each of 295 hosts that start read all entries of the registry (59 MB, 780 calls), and hosts compared digests with random hosts, five of six of them in another data centre, naming eight members each time although nothing had changed. Ruled out: one reader for the fleet (its loss would hold up all); settings for it (who is first follows from whom a host has heard of). Change: `control::start`: seeds read the registry, the first two hosts of a data centre by rank take catalogs from another one, the rest from a host nearby, each with a wait after which it asks further away. Hosts that asked too early are told. Digests carry the revision up to which the sender's catalogs are complete, so a host that comes to watch goes on there and reads nothing. Equal content under another version is not sent again. Digests go mostly to hosts nearby, with eight a round out of each data centre, and name only news to who has not said what it knows.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -213,6 +213,7 @@
             known: 0,
             is_settled: true,
             is_away: false,
+            ..message::Digest::default()
         }),
     };
     points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -5,7 +5,7 @@
 
 use crate::{catalog, clock};
 
-use super::{Core, Output, Source, Standing, member, message, note};
+use super::{Core, Output, Source, Standing, member, message, note, start};
 
 /// Time after which a digest counts as not answered, in ms. An answer takes some milliseconds; a host with a
 /// tenth of a core that does much else takes a hundred.
@@ -18,8 +18,11 @@
 const WATCHER_PROBES: f64 = 8.0;
 /// Part of the exchanges in which a seed is asked too.
 const SEED_PART: f64 = 0.1;
-/// Hosts told at once that this one leaves; the others hear of it from them.
-const TOLD_OF_LEAVING: usize = 4;
+/// Most digests a second, on average, that all hosts together send to seeds besides the usual ones. It is for
+/// two halves of a fleet that lost each other, and one host of each that finds the other half is enough.
+const SEED_PROBES: f64 = 6.0;
+/// Hosts of each data centre told at once that this one leaves; the others hear of it from them.
+const TOLD_OF_LEAVING: usize = 2;
 /// Time after the start for which a host may not have heard of many others, unless one that has been up
 /// for longer told it. Three or four rounds of digests spread the word among a hundred hosts.
 const JOINING: clock::Millis = clock::Millis(1500);
@@ -38,13 +41,20 @@
         self.outputs.push(Output::Send { to, message });
     }
 
-    fn digest(&mut self, known: usize, sent: Option<clock::Millis>, echo: Option<clock::Millis>) -> message::Body {
-        let members = self.named_members(known);
+    fn digest(
+        &mut self,
+        to: &member::Reader<'_>,
+        sent: Option<clock::Millis>,
+        echo: Option<clock::Millis>,
+    ) -> message::Body {
+        let members = self.named_members(to);
         message::Body::Digest(message::Digest {
             members,
             known: self.members.count() as u32,
+            members_digest: self.members_digest(),
             is_settled: self.standing == Standing::Settled,
             is_away: self.registry.held.is_away(),
+            complete_to: self.complete_to,
             stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
             ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
             sent,
@@ -52,23 +62,35 @@
         })
     }
 
-    /// This host and some that it knows, for a host that knows `known` hosts.
-    fn named_members(&mut self, known: usize) -> Vec<message::Member> {
+    /// This host and some that it knows.
+    fn named_members(&mut self, to: &member::Reader<'_>) -> Vec<message::Member> {
         if matches!(self.reader.source, Source::Documents) {
             return Vec::new();
         }
-        let mut members = self.members.named(known, &mut self.random);
-        let state = if self.is_leaving { message::State::Leaving } else { message::State::Alive };
-        members.push(message::Member {
+        let mut members = self.members.named(self.now, to, &mut self.random);
+        members.push(self.this_member());
+        members
+    }
+
+    fn this_member(&self) -> message::Member {
+        message::Member {
             peer: self.identity.peer.clone(),
             name: self.identity.name.clone(),
             data_centre: self.identity.data_centre.clone(),
             relay: self.identity.relay.clone(),
             power: self.identity.power,
             turn: self.turn,
-            state,
-        });
-        members
+            state: if self.is_leaving { message::State::Leaving } else { message::State::Alive },
+        }
+    }
+
+    /// A digest of all members, this host included, as this host knows them; 0 where documents list them.
+    fn members_digest(&mut self) -> u64 {
+        if matches!(self.reader.source, Source::Documents) {
+            return 0;
+        }
+        let this = self.this_member();
+        self.members.digest() ^ member::digest(&this)
     }
 
     fn hear_of(&mut self, from: &CompactString, members: &[message::Member]) {
@@ -137,8 +159,7 @@
     fn send_digest(&mut self, to: CompactString) {
         self.members.ask(self.now, &to);
         self.review_at = self.review_at.min(self.now + REPLY_PATIENCE);
-        let known = self.members.count();
-        let body = self.digest(known, Some(self.now), None);
+        let body = self.digest(&member::Reader::Unheard, Some(self.now), None);
         self.say(to, body);
     }
 
@@ -150,11 +171,16 @@
         if self.gossip_at > self.now {
             return;
         }
-        let jitter = self.random.random_range(0..=self.policy.gossip.0 / 4);
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        let mut jitter = self.random.random_range(0..=self.policy.gossip.0 / 4);
         let pause = match (self.view.is_some(), self.standing) {
-            (false, _) => self.policy.start_wait,
-            (true, Standing::Joining) => JOINING_PAUSE,
-            (true, _) => self.policy.gossip,
+            (false, _) if !is_registry => self.policy.start_wait,
+            (false, Standing::Joining) => {
+                jitter /= 8;
+                start::PAUSE
+            }
+            (_, Standing::Joining) => JOINING_PAUSE,
+            _ => self.policy.gossip,
         };
         self.gossip_at = self.now + pause.max(GOSSIP_LEAST) + clock::Millis(jitter);
         self.age_standing();
@@ -206,14 +232,16 @@
     /// later: two halves that lost each other for long find together again only by what the settings
     /// name.
     fn probe_members(&mut self, count: usize) {
-        let mut to = self.members.pick(count, &mut self.random);
+        let mut to = self.members.pick(count, &self.identity.data_centre, &mut self.random);
         if !self.is_watcher() {
             let part = (WATCHER_PROBES / self.ranked.len().max(1) as f64).min(1.0);
             to.extend(self.watcher_peers.iter().filter(|_| self.random.random_bool(part)).cloned());
         }
         let seeds: Vec<CompactString> =
             self.identity.seeds.iter().filter(|seed| **seed != self.identity.peer).cloned().collect();
-        let wants_seed = self.members.count() <= self.identity.seeds.len() || self.random.random_bool(SEED_PART);
+        let count = self.members.count();
+        let part = SEED_PART.min(SEED_PROBES / count as f64);
+        let wants_seed = count <= self.identity.seeds.len() || self.random.random_bool(part);
         if wants_seed && !seeds.is_empty() {
             let place = self.random.random_range(0..seeds.len());
             to.push(seeds[place].clone());
@@ -230,7 +258,9 @@
         self.is_leaving = true;
         self.turn += 1;
         if matches!(self.reader.source, Source::Registry { .. }) {
-            self.probe_members(TOLD_OF_LEAVING);
+            for peer in self.members.some_of_each(TOLD_OF_LEAVING, &mut self.random) {
+                self.send_digest(peer);
+            }
         }
     }
 
@@ -282,13 +312,22 @@
                 self.stand(Standing::Settled);
             }
         }
+        self.learn_first(&from, digest);
+        self.hear_claim(digest);
         for kind in catalog::Kind::ALL {
             if self.must_ask(kind, digest.stamps[kind.index()], &from) {
                 self.ask(from.clone(), kind);
             }
         }
         if digest.sent.is_some() {
-            let body = self.digest(digest.known as usize, None, digest.sent);
+            let is_same = digest.members_digest != 0 && digest.members_digest == self.members_digest();
+            let sender = digest.members.iter().find(|member| member.peer == from);
+            let data_centre = sender.map_or("", |member| member.data_centre.as_str());
+            let reader = match is_same {
+                true => member::Reader::Same,
+                false => member::Reader::Other { known: digest.known as usize, data_centre },
+            };
+            let body = self.digest(&reader, None, digest.sent);
             self.say(from, body);
         }
         if let Some(echo) = digest.echo {
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -15,18 +15,27 @@
 use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, rngs};
+use xxhash_rust::xxh3;
 
 use crate::{clock, plan};
 
 use super::message;
 
-/// Members named in a digest besides the sender: news first, then those told least often.
+/// Members named in a digest besides the sender: those told least often since their state changed.
 const NAMED_MOST: usize = 8;
+/// Time for which a change of a member's state is told to hosts of which it is not known whether they have it.
+/// News passes through some thousand hosts in ten rounds of digests or so, which are a second apart; whoever
+/// missed it is told in reply to a digest of its own.
+const NEWS: clock::Millis = clock::Millis(10_000);
 /// The same for a host that knows fewer members than this one.
 const NAMED_TO_BEHIND: usize = 32;
 /// The same for a host that knows clearly fewer. When a large fleet starts as a whole, hundreds of hosts ask
 /// each seed at once, and what it answers must pass its link.
 const NAMED_TO_NEW: usize = 64;
+/// Digests that the hosts of a data centre send to others in each round of theirs, on average, where they are
+/// many. News leaves a data centre within a fraction of a second so, and the bytes between data centres do not
+/// grow with its hosts.
+const FAR_PROBES: f64 = 8.0;
 /// Part of the members of this host that another one knows at least if it is not new.
 const KNOWN_PART: f64 = 0.9;
 /// Digests in a row without a reply after which a member is silent.
@@ -58,6 +67,22 @@
     Changed,
 }
 
+/// For whom members are named.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Reader<'r> {
+    /// A host that has not said what it knows.
+    Unheard,
+    /// One that knows the same of all members.
+    Same,
+    /// One that does not.
+    Other {
+        /// Hosts that it knows.
+        known: usize,
+        /// Where it is; empty if that is not known.
+        data_centre: &'r str,
+    },
+}
+
 /// What came of looking at digests that were not answered.
 #[derive(Debug, Default)]
 pub(super) struct Review {
@@ -73,6 +98,15 @@
 #[derive(Debug, Default)]
 pub(super) struct Members {
     rows: IndexMap<CompactString, Row>,
+    /// The digest of all rows, until one of them changes.
+    digest: Option<u64>,
+}
+
+/// A digest of what is said of `member`. Those of several are put together by exclusive or, so that their order
+/// does not matter.
+pub(super) fn digest(member: &message::Member) -> u64 {
+    let seed = member.turn << 2 | member.state as u64;
+    xxh3::xxh3_64_with_seed(member.peer.as_bytes(), seed)
 }
 
 impl Members {
@@ -81,6 +115,12 @@
         self.rows.len() + 1
     }
 
+    /// A digest of what this host knows of the others.
+    pub(super) fn digest(&mut self) -> u64 {
+        let rows = &self.rows;
+        *self.digest.get_or_insert_with(|| rows.values().fold(0, |sum, row| sum ^ digest(&row.member)))
+    }
+
     /// Takes what a digest says of `member`. Of an unknown one that is silent or leaves nothing is kept: hosts
     /// forget such members at different times, and would remind each other of them for ever.
     pub(super) fn hear(&mut self, now: clock::Millis, member: &message::Member) -> News {
@@ -90,6 +130,7 @@
             }
             let member = member.clone();
             let row = Row { member, changed_at: now, told: 0, unanswered: 0, asked_at: None, is_away: false };
+            self.digest = None;
             self.rows.insert(row.member.peer.clone(), row);
             return News::Joined;
         };
@@ -100,6 +141,7 @@
         let is_changed = row.member.state != member.state || row.member.power != member.power;
         row.member = member.clone();
         row.told = 0;
+        self.digest = None;
         if !is_changed {
             return News::None;
         }
@@ -119,6 +161,7 @@
         }
         row.member.state = message::State::Alive;
         row.member.turn += 1;
+        self.digest = None;
         row.changed_at = now;
         row.told = 0;
         News::Changed
@@ -161,6 +204,7 @@
                 continue;
             }
             row.member.state = message::State::Silent;
+            self.digest = None;
             row.changed_at = now;
             row.told = 0;
             review.silent.push(row.member.name.clone());
@@ -175,7 +219,11 @@
             let is_alive = row.member.state == message::State::Alive;
             is_alive || now.since(row.changed_at) <= forget
         });
-        self.rows.len() < before
+        let is_less = self.rows.len() < before;
+        if is_less {
+            self.digest = None;
+        }
+        is_less
     }
 
     /// What each member does, by name.
@@ -217,23 +265,39 @@
         relays
     }
 
-    /// Members to name in a digest to a host that knows `known` hosts.
-    pub(super) fn named(&mut self, known: usize, random: &mut rngs::SmallRng) -> Vec<message::Member> {
-        let most = match self.count() {
-            count if (known as f64) < KNOWN_PART * count as f64 => NAMED_TO_NEW,
-            count if known < count => NAMED_TO_BEHIND,
-            _ => NAMED_MOST,
+    /// Members to name in a digest: to who does not say what it knows just news, and to who knows something else
+    /// those told least often, first of all the ones near to it.
+    pub(super) fn named(
+        &mut self,
+        now: clock::Millis,
+        to: &Reader<'_>,
+        random: &mut rngs::SmallRng,
+    ) -> Vec<message::Member> {
+        let count = self.count();
+        let (most, near_to) = match *to {
+            Reader::Same => return Vec::new(),
+            Reader::Unheard => (NAMED_MOST, ""),
+            Reader::Other { known, data_centre } if (known as f64) < KNOWN_PART * count as f64 => {
+                (NAMED_TO_NEW, data_centre)
+            }
+            Reader::Other { known, .. } if known < count => (NAMED_TO_BEHIND, ""),
+            Reader::Other { .. } => (NAMED_MOST, ""),
         };
-        let mut order: Vec<(u32, u32, usize)> = Vec::with_capacity(self.rows.len());
+        let mut order: Vec<(bool, u32, u32, usize)> = Vec::with_capacity(self.rows.len());
         for (place, row) in self.rows.values().enumerate() {
-            order.push((row.told, random.random(), place));
+            let is_news = now.since(row.changed_at) <= NEWS;
+            if matches!(to, Reader::Unheard) && !is_news {
+                continue;
+            }
+            let is_near = row.member.data_centre == near_to;
+            order.push((!is_near, row.told, random.random(), place));
         }
         let most = most.min(order.len());
         if most > 0 && most < order.len() {
             order.select_nth_unstable(most - 1);
         }
         let mut members = Vec::with_capacity(most);
-        for &(_, _, place) in &order[..most] {
+        for &(.., place) in &order[..most] {
             let Some((_, row)) = self.rows.get_index_mut(place) else {
                 continue;
             };
@@ -243,10 +307,28 @@
         members
     }
 
-    /// Up to `count` random members to send a digest to. A silent one is tried now and then, so that it is
-    /// found again when it is back.
-    pub(super) fn pick(&self, count: usize, random: &mut rngs::SmallRng) -> Vec<CompactString> {
+    /// `count` random members of each data centre, as far as they live.
+    pub(super) fn some_of_each(&self, count: usize, random: &mut rngs::SmallRng) -> Vec<CompactString> {
+        let mut centres: IndexMap<&CompactString, Vec<&CompactString>> = IndexMap::new();
+        for (peer, row) in &self.rows {
+            if row.member.state == message::State::Alive {
+                centres.entry(&row.member.data_centre).or_default().push(peer);
+            }
+        }
+        let mut picked = Vec::new();
+        for mut peers in centres.into_values() {
+            for _ in 0..count.min(peers.len()) {
+                picked.push(peers.swap_remove(random.random_range(0..peers.len())).clone());
+            }
+        }
+        picked
+    }
+
+    /// Up to `count` random members to send a digest to, most of them in the data centre `here`. A silent one is
+    /// tried now and then, so that it is found again when it is back.
+    pub(super) fn pick(&self, count: usize, here: &str, random: &mut rngs::SmallRng) -> Vec<CompactString> {
         let mut alive = Vec::new();
+        let mut near = Vec::new();
         let mut silent = Vec::new();
         for (peer, row) in &self.rows {
             if row.member.state == message::State::Silent {
@@ -254,11 +336,18 @@
                 continue;
             }
             alive.push(peer);
+            if row.member.data_centre == here {
+                near.push(peer);
+            }
         }
+        let probes = (count * (near.len() + 1)) as f64;
+        let far_part = (FAR_PROBES / probes.max(1.0)).min(1.0);
         let mut picked = Vec::new();
         for _ in 0..cmp::min(count, alive.len()) {
-            let place = random.random_range(0..alive.len());
-            picked.push(alive.swap_remove(place).clone());
+            let is_near = !near.is_empty() && !random.random_bool(far_part);
+            let from = if is_near { &mut near } else { &mut alive };
+            let peer = from.swap_remove(random.random_range(0..from.len()));
+            picked.push(peer.clone());
         }
         let silent_part = silent.len() as f64 / (silent.len() + alive.len() + picked.len()).max(1) as f64;
         if !silent.is_empty() && (picked.is_empty() || random.random_bool(silent_part.clamp(0.1, 1.0))) {
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -58,10 +58,14 @@
     pub members: Vec<Member>,
     /// How many hosts the sender knows.
     pub known: u32,
+    /// A digest of what the sender knows of all members, itself included; 0 from nodes that do not tell it.
+    pub members_digest: u64,
     /// Whether these are likely to be all.
     pub is_settled: bool,
     /// Whether the registry does not answer the sender.
     pub is_away: bool,
+    /// The revision of the registry up to which the sender's catalogs are complete; 0 if it does not know.
+    pub complete_to: u64,
 }
 
 /// An entry host that the sender of a digest knows.
--- a/crates/core/src/control/mirror.rs
+++ b/crates/core/src/control/mirror.rs
@@ -136,6 +136,21 @@
         }
     }
 
+    /// Takes the catalogs of another host in place of a whole read: they are complete up to the revision `at`, and
+    /// `changed_at` are their versions.
+    pub(super) fn take_catalogs(
+        &mut self,
+        at: u64,
+        changed_at: [u64; 2],
+        parts: impl Iterator<Item = (CompactString, catalog::Digest, Arc<str>)>,
+    ) {
+        self.abandon();
+        // When each item changed is not told, but what comes later has a greater revision than all of them.
+        self.rows = parts.map(|(key, digest, text)| (key, Row { revision: at, digest, text })).collect();
+        self.at = at;
+        self.changed_at = changed_at;
+    }
+
     /// Forgets the pages of a whole read that did not come to its end.
     pub(super) fn abandon(&mut self) {
         self.reading = None;
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod platform;
 mod registry;
 mod spread;
+mod start;
 
 use std::sync::Arc;
 
@@ -278,6 +279,20 @@
     read_at: clock::Millis,
 }
 
+impl Shelf {
+    /// Takes a later version of the content in force; `false` if `stamp` is of other content. Hosts that read
+    /// the registry at different moments may give the same content different versions, and nobody needs to
+    /// send it for that.
+    fn take_version(&mut self, stamp: view::Stamp) -> bool {
+        let is_same = self.stamp.version > 0 && stamp.digest == self.stamp.digest;
+        if is_same && stamp > self.stamp {
+            self.stamp = stamp;
+            self.current.manifest.version = stamp.version;
+        }
+        is_same
+    }
+}
+
 /// What another host said to have.
 #[derive(Debug)]
 struct Newer {
@@ -347,6 +362,12 @@
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     standing: Standing,
+    start: start::Start,
+    /// The revision up to which the catalogs in force are complete; 0 if that is not known. It rises without
+    /// a change of them too, and lets a host follow the registry that never read it.
+    complete_to: u64,
+    /// What another host said of that, with the catalogs that it has.
+    claim: ([view::Stamp; 2], u64),
     /// When a traffic core asked for confirmation.
     revalidate_at: Option<clock::Millis>,
     outputs: Vec<Output>,
@@ -356,12 +377,14 @@
 impl Core {
     /// A core that knows nothing yet.
     pub fn new(policy: Policy, identity: Identity, reader: Reader, seed: u64, now: clock::Millis) -> Self {
+        let mut random = rngs::SmallRng::seed_from_u64(seed);
+        let start = start::Start::new(now, &mut random);
         let mut core = Self {
             policy,
             identity,
             reader,
             now,
-            random: rngs::SmallRng::seed_from_u64(seed),
+            random,
             shelves: Default::default(),
             servers: view::Registry::default(),
             view: None,
@@ -386,6 +409,9 @@
                 Source::Documents => Standing::Settled,
                 Source::Registry { .. } => Standing::Joining,
             },
+            start,
+            complete_to: 0,
+            claim: Default::default(),
             revalidate_at: None,
             outputs: Vec::new(),
             stats: Stats::default(),
@@ -406,6 +432,7 @@
         }
         self.gossip();
         self.ask_for_late();
+        self.tell_who_asked();
         self.announce();
         self.compile_members();
         self.count_outputs()
@@ -591,8 +618,13 @@
             shelf.newer = None;
         }
         self.stats.adopted += 1;
+        self.believe_claim();
         self.compile();
-        self.push(kind, &before, old_stamp);
+        // What a starting host takes the others have, or ask for.
+        let is_taken = old_stamp.version == 0 && self.is_joining();
+        if !is_taken {
+            self.push(kind, &before, old_stamp);
+        }
     }
 
     /// Puts in force what members changed, a little later: when many hosts start, each digest brings news.
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -10,7 +10,7 @@
 
 use crate::{catalog, clock, plan};
 
-use super::{Core, Output, hold, mirror, note};
+use super::{Core, Output, hold, message, mirror, note};
 
 /// Pause after changes before the next ones are asked for, in ms. Changes come in bursts (a start of many
 /// servers, a warm-up that is reported step by step), and each answer costs a call of every watching host; the
@@ -69,6 +69,7 @@
         if self.registry.call != Call::None || self.registry.call_at > self.now || !self.may_ask() {
             return;
         }
+        self.take_catalogs();
         if self.registry.mirror.at() == 0 || self.registry.must_read {
             self.registry.must_read = false;
             self.registry.call = Call::Page;
@@ -80,6 +81,41 @@
         self.follow(wait, false);
     }
 
+    /// Begins to follow the registry where the catalogs in force end, which other hosts brought, if that is later
+    /// than what this host read itself. A host that comes to watch need not read hundreds of entries that it has.
+    fn take_catalogs(&mut self) {
+        let is_later = self.complete_to > self.registry.mirror.at() && !self.registry.must_read;
+        if !is_later || self.shelves.iter().any(|shelf| shelf.stamp.version == 0) {
+            return;
+        }
+        let changed_at = [self.shelves[0].stamp.version, self.shelves[1].stamp.version];
+        let mut parts = Vec::new();
+        for shelf in &self.shelves {
+            for (key, digest) in &shelf.current.manifest.parts {
+                let Some(text) = shelf.current.texts.get(digest) else {
+                    return;
+                };
+                parts.push((key.clone(), *digest, Arc::clone(text)));
+            }
+        }
+        self.registry.mirror.take_catalogs(self.complete_to, changed_at, parts.into_iter());
+    }
+
+    /// Remembers up to which revision another host's catalogs are complete.
+    pub(super) fn hear_claim(&mut self, digest: &message::Digest) {
+        if digest.complete_to > self.claim.1 {
+            self.claim = (digest.stamps, digest.complete_to);
+        }
+        self.believe_claim();
+    }
+
+    /// The same catalogs are complete up to the same revision, whoever has them.
+    pub(super) fn believe_claim(&mut self) {
+        if self.claim.0 == [self.shelves[0].stamp, self.shelves[1].stamp] {
+            self.complete_to = self.complete_to.max(self.claim.1);
+        }
+    }
+
     /// How long the next call may wait for changes. A registry that falls silent takes calls that it never
     /// answers, and each host must notice that by itself: whom else it could hear of it from may be cut off.
     fn wait(&mut self) -> clock::Millis {
@@ -105,15 +141,16 @@
         }
     }
 
-    /// A watcher always asks; another host does when nobody told it anything for long, and at the
-    /// start after those that its settings name first.
+    /// A watcher always asks; another host does when nobody told it anything for long.
     fn may_ask(&self) -> bool {
-        if self.view.is_none() && self.now < self.started_at + self.start_wait() {
-            return false;
+        if self.is_starting() {
+            return self.now >= self.first_read_at();
         }
-        let fresh_at = self.shelves[catalog::Kind::Hosts.index()].fresh_at;
-        let is_stale = fresh_at.is_none_or(|at| self.now.since(at) > self.policy.stale);
-        self.is_watcher() || self.registry.must_look || is_stale
+        // Only a host that has read the registry itself follows it from the start on.
+        let may_watch = self.registry.mirror.at() > 0 || !self.is_joining();
+        let fresh_at = self.shelves[catalog::Kind::Hosts.index()].fresh_at.unwrap_or(self.started_at);
+        let is_stale = self.now.since(fresh_at) > self.policy.stale;
+        self.is_watcher() && may_watch || self.registry.must_look || is_stale
     }
 
     fn follow(&mut self, wait: clock::Millis, confirms: bool) {
@@ -224,6 +261,10 @@
             }
             self.shelves[kind.index()].fresh_at = Some(self.now);
         }
+        // A document that was refused is in the copy and not in force.
+        if self.shelves.iter().all(|shelf| shelf.refused.is_none_or(|refused| refused <= shelf.stamp)) {
+            self.complete_to = self.complete_to.max(self.registry.mirror.at());
+        }
     }
 
     fn kinds(&self) -> Option<mirror::Kinds> {
@@ -302,7 +343,11 @@
     pub(super) fn registry_timer(&self) -> clock::Millis {
         let held = self.registry.held.next().unwrap_or(clock::Millis::MAX);
         let is_idle = self.registry.call == Call::None;
-        let call = if is_idle && self.may_ask() { self.registry.call_at } else { clock::Millis::MAX };
+        let call = match is_idle {
+            true if self.may_ask() => self.registry.call_at,
+            true if self.is_starting() => self.registry.call_at.max(self.first_read_at()),
+            _ => clock::Millis::MAX,
+        };
         held.min(call)
     }
 }
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -29,9 +29,15 @@
         if theirs <= shelf.stamp || shelf.refused == Some(theirs) {
             return false;
         }
-        if shelf.stamp.version == 0 || !is_registry {
+        if !is_registry {
             return true;
         }
+        if shelf.take_version(theirs) {
+            return false;
+        }
+        if shelf.stamp.version == 0 {
+            return false;
+        }
         let since = shelf.newer.as_ref().map_or(self.now, |newer| newer.since);
         shelf.newer = Some(Newer { stamp: theirs, from: from.clone(), since });
         false
@@ -78,17 +84,23 @@
         for _ in 0..ANNOUNCED.min(others.len()) {
             let place = self.random.random_range(0..others.len());
             let to = others.swap_remove(place);
-            let body = message::Body::Digest(message::Digest {
-                stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
-                ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
-                known: self.members.count() as u32,
-                is_away: self.registry.held.is_away(),
-                ..message::Digest::default()
-            });
-            self.say(to, body);
+            self.tell_stamps(to);
         }
     }
 
+    /// Tells a host what this one has, and nothing of others.
+    pub(super) fn tell_stamps(&mut self, to: CompactString) {
+        let body = message::Body::Digest(message::Digest {
+            stamps: [self.shelves[0].stamp, self.shelves[1].stamp],
+            ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
+            known: self.members.count() as u32,
+            is_away: self.registry.held.is_away(),
+            complete_to: self.complete_to,
+            ..message::Digest::default()
+        });
+        self.say(to, body);
+    }
+
     pub(super) fn ask(&mut self, to: CompactString, kind: catalog::Kind) {
         let have = self.shelves[kind.index()].current.texts.keys().copied().collect();
         self.say(to, message::Body::Ask(message::Ask { kind, have }));
@@ -146,6 +158,9 @@
         if is_older || shelf.refused == Some(stamp) {
             return;
         }
+        if shelf.take_version(stamp) {
+            return;
+        }
         let is_other = update.digest != 0 && update.digest != stamp.digest;
         if is_other {
             self.ask(from, kind);
--- a/crates/core/tests/registry_fleet/mod.rs
+++ b/crates/core/tests/registry_fleet/mod.rs
@@ -114,6 +114,8 @@
     /// Calls are taken and never answered, not even later.
     is_mute: bool,
     pub calls: u64,
+    /// Bytes of its answers, about.
+    pub bytes: u64,
 }
 
 /// A host.
@@ -124,6 +126,10 @@
     pub views: Vec<Arc<view::View>>,
     pub notes: Vec<note::Note>,
     pub sent_bytes: u64,
+    /// Of these, what went to other data centres.
+    pub far_bytes: u64,
+    /// When it had its first view.
+    pub ready_at: Option<u64>,
     /// The host reaches neither the registry nor another host.
     pub is_cut: bool,
 }
@@ -153,6 +159,11 @@
     measure: fn(&message::Message) -> usize,
 }
 
+/// Bytes of an item in an answer of the registry: the value in base 64, and what stands around it.
+fn bytes_of(item: &mirror::Item) -> u64 {
+    (item.text.len() * 4 / 3 + item.key.len() + 90) as u64
+}
+
 /// The address of a host.
 pub fn peer(host: usize) -> CompactString {
     format_compact!("10.0.{}.{}:7000", host / 250, host % 250)
@@ -192,6 +203,8 @@
                 views: Vec::new(),
                 notes: Vec::new(),
                 sent_bytes: 0,
+                far_bytes: 0,
+                ready_at: None,
                 is_cut: false,
             });
             fleet.at(1 + host as u64 % 300, Happening::Step { host, life: 0 });
@@ -278,6 +291,7 @@
         let row = &mut self.hosts[host];
         row.life += 1;
         row.up = false;
+        row.ready_at = None;
         row.core = core;
         row.views.clear();
         let life = row.life;
@@ -336,7 +350,9 @@
         match output {
             control::Output::List { after } => {
                 self.store.calls += 1;
-                let input = control::Input::Page(self.page(host, after.as_deref()));
+                let page = self.page(host, after.as_deref());
+                self.store.bytes += page.iter().flat_map(|page| &page.items).map(bytes_of).sum::<u64>();
+                let input = control::Input::Page(page);
                 let took = if self.store.is_mute { PAGE_PATIENCE } else { 4 };
                 self.at(self.now + took, Happening::Input { host, life, input });
             }
@@ -352,7 +368,10 @@
             control::Output::Reconnect { to } => {
                 self.stuck.retain(|(from, other), _| *from != host || peer(*other) != to);
             }
-            control::Output::View(view) => self.hosts[host].views.push(view),
+            control::Output::View(view) => {
+                self.hosts[host].ready_at.get_or_insert(self.now);
+                self.hosts[host].views.push(view);
+            }
             control::Output::Refused { faults, .. } => panic!("refused: {faults:?}"),
             control::Output::Breach(breach) => panic!("{breach:?}"),
             control::Output::Note(note) => self.hosts[host].notes.push(note),
@@ -432,6 +451,8 @@
         let Some(host) = host_of(to).filter(|&host| host < self.hosts.len()) else {
             return;
         };
+        let is_far = host % self.centres != from % self.centres;
+        self.hosts[from].far_bytes += if is_far { bytes } else { 0 };
         if self.hosts[from].is_cut || self.hosts[host].is_cut {
             self.stuck.insert((from, host), self.now + STUCK);
             return;
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -21,6 +21,8 @@
                 known: 2,
                 is_settled: true,
                 is_away: false,
+                members_digest: config.digest,
+                complete_to: hosts.version,
             })
         });
     let ask = proptest::collection::vec(any::<u64>(), 0..20).prop_map(|have| {
