Pack longer messages between hosts, and send differences of catalogs

Cause: a host that missed a change named all its parts (10 KB) and got all keys (37 KB) to learn of one that differs; messages repeat names of fields and servers hundreds of times. Ruled out: shorter names of fields (old and new hosts live side by side in a rolling restart); a compact coding of entries (it must be read by every interface); packing in each send (a seed sends the same catalog to a hundred hosts). Change: who asks names the catalog that it has, and gets what changed since (`control::history`), or the whole if that is not known or the digest differs. What is late is asked for nearby first.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -141,7 +141,7 @@
     for leaves in LEAVES {
         let [config, listed] = documents(leaves);
         let messages = [update(catalog::Kind::Config, 1, &config), update(catalog::Kind::Hosts, 1, &listed)];
-        let bytes: usize = messages.iter().map(|message| peer::encode(message).expect("encoded").len()).sum();
+        let bytes: usize = messages.iter().map(|message| peer::encode(message, false).expect("encoded").len()).sum();
         points.add("start_bytes_by_leaf", leaves, bytes as f64);
         let before = account::held();
         let start = Instant::now();
@@ -194,7 +194,7 @@
         };
         let message =
             message::Message { protocol: message::PROTOCOL, from: mesh::peer(1), body: message::Body::Catalog(update) };
-        bytes = peer::encode(&message).expect("encoded").len();
+        bytes = peer::encode(&message, false).expect("encoded").len();
         now = now + clock::Millis(1);
         core.step(now, [control::Input::Peer(message)]);
         assert_eq!(core.stamp(catalog::Kind::Hosts).version, version);
@@ -216,7 +216,7 @@
             ..message::Digest::default()
         }),
     };
-    points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest).expect("encoded").len() as f64);
+    points.add("digest_bytes_by_leaf", leaves, peer::encode(&digest, false).expect("encoded").len() as f64);
     let digests = 100;
     let took = shortest(5, || {
         for _ in 0..digests {
@@ -393,7 +393,7 @@
 pub(crate) fn hosts(points: &mut Points) {
     for count in [13, 39, 130, 390, 1300] {
         let mut mesh = mesh::Mesh::new(count, 13, &control::Policy::default(), 1);
-        mesh.measure = Some(|message| peer::encode(message).expect("encoded").len());
+        mesh.measure = Some(|message| peer::encode(message, false).expect("encoded").len());
         mesh.run(20_000);
         let ready = mesh.hosts.iter().filter(|host| host.has_view).count();
         assert_eq!(ready, count, "every host has a view");
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -38,7 +38,8 @@
     pub(super) fn say(&mut self, to: CompactString, body: message::Body) {
         let from = self.identity.peer.clone();
         let message = message::Message { protocol: message::PROTOCOL, from, body };
-        self.outputs.push(Output::Send { to, message });
+        let packs = self.members.packs(&to);
+        self.outputs.push(Output::Send { to, packs, message });
     }
 
     fn digest(
@@ -80,6 +81,7 @@
             relay: self.identity.relay.clone(),
             power: self.identity.power,
             turn: self.turn,
+            packs: true,
             state: if self.is_leaving { message::State::Leaving } else { message::State::Alive },
         }
     }
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -115,6 +115,11 @@
         self.rows.len() + 1
     }
 
+    /// Whether the host at `peer` reads packed messages.
+    pub(super) fn packs(&self, peer: &CompactString) -> bool {
+        self.rows.get(peer).is_some_and(|row| row.member.packs)
+    }
+
     /// A digest of what this host knows of the others.
     pub(super) fn digest(&mut self) -> u64 {
         let rows = &self.rows;
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -84,6 +84,8 @@
     pub power: u32,
     /// Raised by the member when it has to contradict what is said of it.
     pub turn: u64,
+    /// Whether it reads packed messages.
+    pub packs: bool,
     /// What it is said to do. Of two words of the same turn the later variant holds.
     pub state: State,
 }
@@ -106,8 +108,11 @@
 pub struct Ask {
     /// Which catalog.
     pub kind: catalog::Kind,
-    /// Digests of the parts that the sender has.
+    /// Digests of the parts that the sender has, unless it names a `base`.
     pub have: Vec<catalog::Digest>,
+    /// The catalog that it has, to be told what changed since; the whole catalog is an answer too.
+    #[serde(default)]
+    pub base: Option<view::Stamp>,
 }
 
 /// A manifest, or its difference to another, with texts.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! last good one stays in force.
 
 mod gossip;
+mod history;
 mod hold;
 mod life;
 mod member;
@@ -235,6 +236,8 @@
     Send {
         /// `IP:PORT`.
         to: CompactString,
+        /// Whether that host is known to read packed messages.
+        packs: bool,
         /// What.
         message: message::Message,
     },
@@ -265,6 +268,7 @@
 #[derive(Debug, Default)]
 struct Shelf {
     current: catalog::Catalog,
+    history: history::History,
     stamp: view::Stamp,
     parsed: IndexMap<catalog::Digest, Arc<plan::Part>>,
     /// A newer manifest whose parts are being collected.
@@ -298,6 +302,8 @@
 struct Newer {
     stamp: view::Stamp,
     from: CompactString,
+    /// Whether `from` is in this host's data centre.
+    is_near: bool,
     /// When this host first heard of something newer than it has.
     since: clock::Millis,
 }
@@ -608,6 +614,7 @@
             self.hold_missing(&before, &manifest);
         }
         let shelf = &mut self.shelves[kind.index()];
+        shelf.history.take(&before, &manifest);
         shelf.current.adopt(manifest);
         shelf.parsed.retain(|digest, _| shelf.current.texts.contains_key(digest));
         if kind == catalog::Kind::Hosts {
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -10,7 +10,7 @@
 
 use crate::{catalog, clock, mutant, rendezvous, view};
 
-use super::{Core, Newer, Output, Source, message, note};
+use super::{Core, Newer, Output, Shelf, Source, message, note};
 
 /// Time for a push to arrive, in ms, before what a host told is asked for: a few hops and the pause
 /// between two reads of the registry.
@@ -25,6 +25,7 @@
     /// what does not come for a while is asked for later.
     pub(super) fn must_ask(&mut self, kind: catalog::Kind, theirs: view::Stamp, from: &CompactString) -> bool {
         let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        let is_near = self.is_near(from);
         let shelf = &mut self.shelves[kind.index()];
         if theirs <= shelf.stamp || shelf.refused == Some(theirs) {
             return false;
@@ -39,15 +40,20 @@
             return false;
         }
         let since = shelf.newer.as_ref().map_or(self.now, |newer| newer.since);
-        shelf.newer = Some(Newer { stamp: theirs, from: from.clone(), since });
+        // Who is nearby goes before who has more: what is still missing then is asked for later.
+        let has_nearer = shelf.newer.as_ref().is_some_and(|newer| newer.is_near && !is_near);
+        if !has_nearer {
+            shelf.newer = Some(Newer { stamp: theirs, from: from.clone(), is_near, since });
+        }
         false
     }
 
     /// Asks for what others have and what did not come in time.
     pub(super) fn ask_for_late(&mut self) {
+        let brings = self.is_bringer();
         for kind in catalog::Kind::ALL {
             let shelf = &mut self.shelves[kind.index()];
-            let is_late = shelf.newer.as_ref().is_some_and(|newer| self.now.since(newer.since) >= PUSH_WAIT);
+            let is_late = shelf.newer.as_ref().is_some_and(|newer| newer.due(brings) <= self.now);
             let Some(newer) = shelf.newer.take_if(|_| is_late) else {
                 continue;
             };
@@ -58,7 +64,8 @@
 
     /// When [`Core::ask_for_late`] must run, and [`Core::announce`].
     pub(super) fn spread_timer(&self) -> clock::Millis {
-        let late = self.shelves.iter().filter_map(|shelf| shelf.newer.as_ref()).map(|newer| newer.since + PUSH_WAIT);
+        let brings = self.is_bringer();
+        let late = self.shelves.iter().filter_map(|shelf| shelf.newer.as_ref()).map(|newer| newer.due(brings));
         let announce = if self.must_announce { self.announce_at } else { clock::Millis::MAX };
         late.min().unwrap_or(clock::Millis::MAX).min(announce)
     }
@@ -101,9 +108,21 @@
         self.say(to, body);
     }
 
+    /// Asks for what this host lacks of a catalog.
     pub(super) fn ask(&mut self, to: CompactString, kind: catalog::Kind) {
+        let stamp = self.shelves[kind.index()].stamp;
+        let is_registry = matches!(self.reader.source, Source::Registry { .. });
+        if !is_registry || stamp.version == 0 {
+            self.ask_whole(to, kind);
+            return;
+        }
+        self.say(to, message::Body::Ask(message::Ask { kind, have: Vec::new(), base: Some(stamp) }));
+    }
+
+    /// Asks for a whole catalog, less the texts that this host has.
+    fn ask_whole(&mut self, to: CompactString, kind: catalog::Kind) {
         let have = self.shelves[kind.index()].current.texts.keys().copied().collect();
-        self.say(to, message::Body::Ask(message::Ask { kind, have }));
+        self.say(to, message::Body::Ask(message::Ask { kind, have, base: None }));
     }
 
     pub(super) fn on_ask(&mut self, from: CompactString, ask: &message::Ask) {
@@ -111,14 +130,8 @@
         if shelf.current.manifest.parts.is_empty() {
             return;
         }
-        let mut parts = Vec::new();
-        for (key, digest) in &shelf.current.manifest.parts {
-            let text = if ask.have.contains(digest) { None } else { shelf.current.texts.get(digest).cloned() };
-            parts.push(message::Part { key: key.clone(), digest: *digest, text });
-        }
-        let version = shelf.current.manifest.version;
-        let digest = shelf.stamp.digest;
-        let update = message::Update { kind: ask.kind, base: None, version, digest, removed: Vec::new(), parts };
+        let update = ask.base.and_then(|base| shelf.since(ask.kind, base));
+        let update = update.unwrap_or_else(|| shelf.whole(ask));
         self.say(from, message::Body::Catalog(update));
     }
 
@@ -163,12 +176,12 @@
         }
         let is_other = update.digest != 0 && update.digest != stamp.digest;
         if is_other {
-            self.ask(from, kind);
+            self.ask_whole(from, kind);
             return;
         }
         shelf.current.texts.extend(texts);
         if !shelf.current.lacks(&manifest).is_empty() {
-            self.ask(from, kind);
+            self.ask_whole(from, kind);
             return;
         }
         shelf.pending = Some(manifest);
@@ -232,6 +245,43 @@
     }
 }
 
+impl Newer {
+    /// When it is asked for. A host that does not bring catalogs to its data centre leaves that to those that do
+    /// for a while, and hears of it nearby then.
+    fn due(&self, brings: bool) -> clock::Millis {
+        let is_direct = self.is_near || brings;
+        self.since + if is_direct { PUSH_WAIT } else { PUSH_WAIT + PUSH_WAIT }
+    }
+}
+
+impl Shelf {
+    /// The catalog, with the texts that whoever asks lacks.
+    fn whole(&self, ask: &message::Ask) -> message::Update {
+        let mut parts = Vec::with_capacity(self.current.manifest.parts.len());
+        for (key, digest) in &self.current.manifest.parts {
+            let text = if ask.have.contains(digest) { None } else { self.current.texts.get(digest).cloned() };
+            parts.push(message::Part { key: key.clone(), digest: *digest, text });
+        }
+        let view::Stamp { version, digest } = self.stamp;
+        message::Update { kind: ask.kind, base: None, version, digest, removed: Vec::new(), parts }
+    }
+
+    /// What has changed since `base`, if that is known.
+    fn since(&self, kind: catalog::Kind, base: view::Stamp) -> Option<message::Update> {
+        let (mut parts, mut removed) = (Vec::new(), Vec::new());
+        for key in self.history.after(base.version)? {
+            let Some(digest) = self.current.manifest.parts.get(key) else {
+                removed.push(key.clone());
+                continue;
+            };
+            let text = self.current.texts.get(digest).cloned();
+            parts.push(message::Part { key: key.clone(), digest: *digest, text });
+        }
+        let view::Stamp { version, digest } = self.stamp;
+        Some(message::Update { kind, base: Some(base), version, digest, removed, parts })
+    }
+}
+
 /// Whether the difference `update` can be applied to the manifest of `current`. Versions of a registry
 /// are points of one history, so a difference from an earlier point holds the latest value of all that
 /// changed since, and the digest of the result tells whether that was so.
--- a/crates/core/src/control/start.rs
+++ b/crates/core/src/control/start.rs
@@ -145,7 +145,7 @@
     }
 
     /// Whether this host is one of the first of its data centre, as far as it has heard of others.
-    fn is_bringer(&self) -> bool {
+    pub(super) fn is_bringer(&self) -> bool {
         self.ranked.iter().take(BRINGERS).any(|name| *name == self.identity.name)
     }
 
--- a/crates/core/tests/driver/world.rs
+++ b/crates/core/tests/driver/world.rs
@@ -426,7 +426,7 @@
                 let text = self.platform_value(host, &key);
                 self.after(2, 10, Happening::Control { host, life, input: control::Input::Part { kind, key, text } });
             }
-            control::Output::Send { to, message } => self.send(host, &to, message),
+            control::Output::Send { to, message, .. } => self.send(host, &to, message),
             control::Output::View(view) => self.on_view(host, life, view),
             control::Output::Revalidated => self.traffic(host, [event::Input::Revalidated]),
             control::Output::Refused { stamp, .. } => {
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -190,7 +190,7 @@
                 self.waiting.push(Watch { host, kind, after, until });
                 self.end_watches(None);
             }
-            control::Output::Send { to, message } => self.send(host, &to, message),
+            control::Output::Send { to, message, .. } => self.send(host, &to, message),
             control::Output::View(_) => self.hosts[host].has_view = true,
             control::Output::Refused { faults, .. } => panic!("refused: {}", faults[0]),
             control::Output::Breach(breach) => panic!("{breach:?}"),
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -143,8 +143,8 @@
             control::Output::List { after } => self.list(after),
             control::Output::Follow { ticket, after, wait, patience } => self.follow(ticket, after, wait, patience),
             control::Output::Note(note) => log(&note),
-            control::Output::Send { to, message } => {
-                let bytes = self.senders.send(&to, &message);
+            control::Output::Send { to, packs, message } => {
+                let bytes = self.senders.send(&to, &message, packs);
                 self.shared.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(bytes as u64);
             }
             control::Output::View(view) => {
--- a/crates/node/src/control/peer.rs
+++ b/crates/node/src/control/peer.rs
@@ -4,12 +4,12 @@
 //! A push socket drops without a word what it cannot hold. That is harmless here, because a message
 //! is only ever state that will be sent again.
 
-use std::net;
+use std::{net, rc::Rc};
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
 use nng::options::{LocalAddr, Options, RecvMaxSize, SendBufferSize};
-use shallothub_core::control::message;
+use shallothub_core::{catalog, control::message};
 use shallothub_wire as wire;
 use snafu::ResultExt;
 use tokio::sync::mpsc;
@@ -81,12 +81,33 @@
 #[derive(Debug, Default)]
 pub(crate) struct Senders {
     sockets: IndexMap<CompactString, nng::Socket>,
+    /// The last whole catalog of each kind that was sent, packed.
+    packed: Vec<(Whole, Rc<[u8]>)>,
+}
+
+/// Which whole catalog a message holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Whole {
+    kind: catalog::Kind,
+    version: u64,
+    digest: u64,
+}
+
+impl Whole {
+    /// `None` if the message holds anything else, or not all texts.
+    fn of(message: &message::Message) -> Option<Self> {
+        let message::Body::Catalog(update) = &message.body else {
+            return None;
+        };
+        let is_whole = update.base.is_none() && update.parts.iter().all(|part| part.text.is_some());
+        is_whole.then_some(Self { kind: update.kind, version: update.version, digest: update.digest })
+    }
 }
 
 impl Senders {
     /// Sends, or drops the message if the host cannot be reached or is behind. The bytes sent.
-    pub(crate) fn send(&mut self, to: &CompactString, message: &message::Message) -> usize {
-        let bytes = match wire::peer::encode(message) {
+    pub(crate) fn send(&mut self, to: &CompactString, message: &message::Message, packs: bool) -> usize {
+        let bytes = match self.bytes(message, packs) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(detail = %error, "a message was not sent");
@@ -96,13 +117,27 @@
         let Some(socket) = self.socket(to) else {
             return 0;
         };
-        if let Err((_, error)) = socket.try_send(bytes.as_slice()) {
+        if let Err((_, error)) = socket.try_send(&*bytes) {
             tracing::debug!(peer = %to, detail = %error, "a message was dropped");
             return 0;
         }
         bytes.len()
     }
 
+    /// The bytes of a message. Hosts that start together are sent the same whole catalog, which is packed once.
+    fn bytes(&mut self, message: &message::Message, packs: bool) -> Result<Rc<[u8]>, wire::peer::Error> {
+        let whole = Whole::of(message).filter(|_| packs);
+        if let Some((_, bytes)) = self.packed.iter().find(|(held, _)| Some(held) == whole.as_ref()) {
+            return Ok(Rc::clone(bytes));
+        }
+        let bytes: Rc<[u8]> = wire::peer::encode(message, packs)?.into();
+        if let Some(whole) = whole {
+            self.packed.retain(|(held, _)| held.kind != whole.kind);
+            self.packed.push((whole, Rc::clone(&bytes)));
+        }
+        Ok(bytes)
+    }
+
     /// Closes the connection to a host.
     pub(crate) fn forget(&mut self, to: &CompactString) {
         if let Some(socket) = self.sockets.shift_remove(to) {
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -27,7 +27,7 @@
         });
     let ask = proptest::collection::vec(any::<u64>(), 0..20).prop_map(|have| {
         let have = have.into_iter().map(catalog::Digest).collect();
-        message::Body::Ask(message::Ask { kind: catalog::Kind::Hosts, have })
+        message::Body::Ask(message::Ask { kind: catalog::Kind::Hosts, have, base: None })
     });
     let update = (any::<u64>(), proptest::option::of(stamp()), ".{0,40}").prop_map(|(version, base, text)| {
         let part = message::Part { key: "k".into(), digest: catalog::Digest::of(&text), text: Some(text.into()) };
@@ -40,16 +40,16 @@
 
 proptest! {
     #[test]
-    fn a_message_survives_the_wire(body in body()) {
+    fn a_message_survives_the_wire(body in body(), packs in any::<bool>()) {
         let message = message::Message { protocol: message::PROTOCOL, from: "10.0.0.1:7000".into(), body };
-        let bytes = peer::encode(&message).expect("encoded");
+        let bytes = peer::encode(&message, packs).expect("encoded");
         prop_assert_eq!(peer::decode(&bytes).expect("decoded"), message);
     }
 
     #[test]
-    fn cutting_a_message_short_is_an_error(body in body(), cut in 1_usize..40) {
+    fn cutting_a_message_short_is_an_error(body in body(), packs in any::<bool>(), cut in 1_usize..40) {
         let message = message::Message { protocol: message::PROTOCOL, from: "10.0.0.1:7000".into(), body };
-        let bytes = peer::encode(&message).expect("encoded");
+        let bytes = peer::encode(&message, packs).expect("encoded");
         prop_assert!(peer::decode(&bytes[..bytes.len().saturating_sub(cut)]).is_err());
     }
 }
