Keep work from data centres that operators have evacuated

Change: an evacuation is a part of the list of hosts (a registry's key, or operators' own document shallothub/evacuations/NAME, which is checked); the view closes every server there, so that first attempts, hedges, retries and what waits in a queue go elsewhere or are missing truthfully; a promise of its own is asserted at each dispatch; log line, counter, shallotctl status and explain, stand-in, guard to take out.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -87,6 +87,7 @@
                 connections: size.connections,
                 slots: size.slots as u32,
                 leaving: false,
+                evacuated: false,
                 distance: view::Distance::Near,
                 own_share: None,
                 is_peer: false,
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -331,6 +331,8 @@
     pub adopted: u64,
     /// Catalogs refused.
     pub refused: u64,
+    /// Times that other data centres than before were evacuated.
+    pub evacuations: u64,
 }
 
 /// The decisions of the control thread.
@@ -679,11 +681,27 @@
         let fleet =
             plan::Fleet { this: Some(&this), members, is_settled, relays: &relays, held: &held, reborn: &reborn };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
+        self.note_evacuations(&view);
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
         self.outputs.push(Output::View(view));
     }
 
+    /// Logs which data centres are evacuated when that changes.
+    fn note_evacuations(&mut self, view: &view::View) {
+        let is_same = match &self.view {
+            Some(before) => before.evacuated == view.evacuated,
+            None => view.evacuated.is_empty(),
+        };
+        if is_same {
+            return;
+        }
+        self.stats.evacuations += 1;
+        let servers = view.servers.iter().flatten().filter(|server| server.evacuated).count();
+        let data_centres = view.evacuated.iter().cloned().collect();
+        self.outputs.push(Output::Note(note::Note::Evacuated { data_centres, servers, stamp: view.hosts_revision }));
+    }
+
     /// Reads the entry hosts out of the list in force.
     fn refresh_peers(&mut self) {
         self.peers.clear();
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -75,6 +75,15 @@
         /// Their names.
         servers: Vec<CompactString>,
     },
+    /// Operators evacuated data centres, or took it back.
+    Evacuated {
+        /// The data centres that are evacuated now.
+        data_centres: Vec<CompactString>,
+        /// Servers that get no new work because of it.
+        servers: usize,
+        /// The list of hosts that says so.
+        stamp: view::Stamp,
+    },
     /// An entry cannot be read and is left out.
     Unreadable(plan::Fault),
 }
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -20,6 +20,8 @@
     AtMostOnce,
     /// No dispatch goes to a server that the view in force marks as leaving.
     NoWorkToLeaving,
+    /// No dispatch goes to a server whose data centre the view in force has as evacuated.
+    NoWorkToEvacuated,
     /// The version in force never falls.
     ConfigMonotonic,
     /// Extra attempts stay inside their budget.
@@ -30,13 +32,14 @@
 
 impl Name {
     /// Every promise, in the order of `docs/PROOFS.md`.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::OneSnapshot,
         Self::TrueCoverage,
         Self::OwnWholeAnswer,
         Self::NotRunMeansNotRun,
         Self::AtMostOnce,
         Self::NoWorkToLeaving,
+        Self::NoWorkToEvacuated,
         Self::ConfigMonotonic,
         Self::BoundedExtraLoad,
         Self::BoundedConnections,
@@ -51,6 +54,7 @@
             Self::NotRunMeansNotRun => "not_run_means_not_run",
             Self::AtMostOnce => "at_most_once",
             Self::NoWorkToLeaving => "no_work_to_leaving",
+            Self::NoWorkToEvacuated => "no_work_to_evacuated",
             Self::ConfigMonotonic => "config_monotonic",
             Self::BoundedExtraLoad => "bounded_extra_load",
             Self::BoundedConnections => "bounded_connections",
--- a/crates/core/src/mutant.rs
+++ b/crates/core/src/mutant.rs
@@ -31,6 +31,8 @@
     UnboundedExtra,
     /// The connection share follows from the hosts that can be reached.
     ShareByReach,
+    /// Servers of an evacuated data centre get work as before.
+    IgnoreEvacuation,
     /// A key of a request that is not idempotent is forgotten at once.
     ForgetKeys,
 }
--- a/crates/core/src/plan/check.rs
+++ b/crates/core/src/plan/check.rs
@@ -25,6 +25,7 @@
             }
             Part::Selectors(rows) => selectors.extend(rows.iter().map(|row| (document, row))),
             Part::Routing(routing) => routing::check(document, routing, &mut faults),
+            Part::Evacuation(data_centres) => check_evacuation(document, data_centres, &mut faults),
             Part::Hosts { .. } | Part::Leaf(_) | Part::Unreadable(_) => {}
         }
     }
@@ -38,6 +39,23 @@
     faults
 }
 
+/// That a data centre exists cannot be told from the configuration alone, and one that does not harms nobody.
+fn check_evacuation(document: &CompactString, data_centres: &[CompactString], faults: &mut Vec<Fault>) {
+    let mut names = IndexSet::new();
+    for name in data_centres {
+        let mut fault = |problem: String, remedy: &str| {
+            let place = Place { line: 1, column: 1 };
+            faults.push(Fault { document: document.clone(), place, problem, remedy: remedy.to_owned() });
+        };
+        if name.is_empty() {
+            fault("an evacuated data centre has no name".to_owned(), "name it as in the list of hosts");
+        }
+        if !names.insert(name) {
+            fault(format!("the data centre `{name}` is evacuated twice"), "name it once");
+        }
+    }
+}
+
 fn duplicate(document: &CompactString, place: Place, what: &str, name: &str) -> Fault {
     Fault {
         document: document.clone(),
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -1,7 +1,7 @@
 //! From accepted parts to a view.
 
 use compact_str::CompactString;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{id, mutant, view};
 
@@ -44,6 +44,7 @@
     let mut selectors = Vec::new();
     let mut leafs: IndexMap<&CompactString, &Leaf> = IndexMap::new();
     let mut routings = Vec::new();
+    let mut evacuated = IndexSet::new();
     for part in parts {
         match part {
             Part::Services { entry_hosts_most, services: rows } => {
@@ -59,6 +60,7 @@
             Part::Leaf(leaf) => {
                 leafs.insert(&leaf.name, leaf);
             }
+            Part::Evacuation(data_centres) => evacuated.extend(data_centres.iter().cloned()),
             Part::Unreadable(_) => {}
         }
     }
@@ -72,6 +74,7 @@
         stamp: stamps[0],
         hosts_revision: stamps[1],
         hosts: if mutant::is(mutant::Mutant::ShareByReach) { entry_hosts } else { most.max(entry_hosts) },
+        evacuated,
         ..view::View::default()
     };
     view.hosts = view.hosts.max(fleet.members);
@@ -121,6 +124,7 @@
             connections: accepted,
             slots: leaf.slots,
             leaving: registry.is_leaving(id, leaf.incarnation),
+            evacuated: is_evacuated(view, &leaf.data_centre),
             distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
             own_share: Some(if fleet.is_settled { share } else { share.min(UNSETTLED_SHARE) }),
             is_peer: false,
@@ -131,6 +135,10 @@
     by_service
 }
 
+fn is_evacuated(view: &view::View, data_centre: &CompactString) -> bool {
+    view.evacuated.contains(data_centre) && !mutant::is(mutant::Mutant::IgnoreEvacuation)
+}
+
 /// Puts a server into its place in the view.
 pub(super) fn put_server(view: &mut view::View, id: id::Server, server: view::Server) {
     if view.servers.len() <= id.index() {
@@ -168,6 +176,7 @@
         connections: server.connections,
         slots: server.slots,
         leaving: is_marked || registry.is_leaving(id, listed.incarnation),
+        evacuated: is_evacuated(view, &listed.data_centre),
         distance: view::Distance::Near,
         own_share: None,
         is_peer: false,
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -199,6 +199,10 @@
     Routing(Routing),
     /// Of the list of hosts: one server that registered itself.
     Leaf(Leaf),
+    /// Data centres that operators have evacuated: their servers get no new work until this part is gone. With a
+    /// registry it stands among the list of hosts, so that no host has the servers without the evacuations,
+    /// and so that a configuration with faults does not keep it from hosts.
+    Evacuation(Vec<CompactString>),
     /// Of the list of hosts: an entry that cannot be read. It is left out, and the rest counts: one
     /// server's broken entry must not keep news of all others from this host.
     Unreadable(Fault),
@@ -240,6 +244,8 @@
     Label(CompactString),
     /// It is marked as leaving.
     Leaving,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// The list of hosts does not have it.
     NotListed,
 }
@@ -254,6 +260,7 @@
     match view.server(registry.intern(&server.name)) {
         None => Reason::NotListed,
         Some(listed) if listed.leaving => Reason::Leaving,
+        Some(listed) if listed.evacuated => Reason::Evacuated,
         Some(_) => Reason::Reached,
     }
 }
--- a/crates/core/src/plan/relay.rs
+++ b/crates/core/src/plan/relay.rs
@@ -133,6 +133,7 @@
         connections: IN_FLIGHT,
         slots: IN_FLIGHT,
         leaving: false,
+        evacuated: false,
         distance,
         own_share: Some(IN_FLIGHT),
         is_peer: true,
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -171,6 +171,7 @@
                 let word = match self.view.server(id) {
                     None => "is gone",
                     Some(server) if server.leaving => "is leaving",
+                    Some(server) if server.evacuated => "is in an evacuated data centre",
                     Some(_) if state.is_replaced => "is another one now",
                     Some(_) if state.share == 0 => "has no connection for this host",
                     Some(_) => continue,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -57,7 +57,7 @@
         };
         let name = published.name.clone();
         let address = published.address.clone();
-        let is_leaving = published.leaving;
+        let (is_leaving, is_evacuated) = (published.leaving, published.evacuated);
         let relayed = self.queries.get(query.0).and_then(|row| self.relayed(row));
         let Some(row) = self.queries.get_mut(query.0) else {
             return;
@@ -109,6 +109,9 @@
         if is_leaving {
             self.breach(invariant::Name::NoWorkToLeaving, format!("{query} {attempt} to {server}"));
         }
+        if is_evacuated {
+            self.breach(invariant::Name::NoWorkToEvacuated, format!("{query} {attempt} to {server}"));
+        }
         self.count_attempt(class, service, server, kind);
         self.outputs.push(event::Output::Dispatch(dispatch));
     }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -246,7 +246,8 @@
         }
         let servers = self.view.servers.iter().flatten().count();
         let leaving = self.view.servers.iter().flatten().filter(|server| server.leaving).count();
-        self.note(note::Note::View { servers, leaving });
+        let evacuated = self.view.servers.iter().flatten().filter(|server| server.evacuated).count();
+        self.note(note::Note::View { servers, leaving, evacuated });
     }
 
     /// Takes what the view in force says of a server. `true` if it has started anew.
@@ -271,7 +272,7 @@
         if is_changed || is_reborn {
             self.outputs.push(Output::Trim { server: id, keep: share });
         }
-        if published.leaving {
+        if !published.is_open() {
             self.requeue(id);
         }
         self.pump(id);
--- a/crates/core/src/traffic/note.rs
+++ b/crates/core/src/traffic/note.rs
@@ -77,6 +77,8 @@
         servers: usize,
         /// Of these, leaving.
         leaving: usize,
+        /// Of these, in data centres that are evacuated.
+        evacuated: usize,
     },
 }
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -86,6 +86,9 @@
     pub slots: u32,
     /// Whether it was marked as leaving in this incarnation.
     pub leaving: bool,
+    /// Whether operators have evacuated its data centre. Unlike a leaving mark this ends: what counts is what
+    /// the documents in force say.
+    pub evacuated: bool,
     /// How far it is from this host.
     pub distance: Distance,
     /// This host's share of its connections, where it does not follow from the number of hosts.
@@ -108,6 +111,11 @@
 }
 
 impl Server {
+    /// Whether new work may go to it.
+    pub fn is_open(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+
     /// This host's share of the server's connections, if `hosts` entry hosts are published. The
     /// share follows the published list and never who is reachable, so the shares of both sides of
     /// a partition still add up to no more than the limit.
@@ -214,6 +222,8 @@
     pub parts: IndexMap<id::Service, f64>,
     /// Servers by [`id::Server`]; `None` where a registered server is not published any more.
     pub servers: Vec<Option<Server>>,
+    /// Data centres whose servers get no new work until operators take that back.
+    pub evacuated: IndexSet<CompactString>,
 }
 
 impl View {
@@ -224,7 +234,7 @@
 
     /// Whether new work may go to `id`.
     pub fn is_open(&self, id: id::Server) -> bool {
-        self.server(id).is_some_and(|server| !server.leaving)
+        self.server(id).is_some_and(Server::is_open)
     }
 }
 
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -22,6 +22,7 @@
         connections,
         slots: connections,
         leaving: false,
+        evacuated: false,
         distance: view::Distance::Near,
         own_share: None,
         is_peer: false,
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -2,7 +2,8 @@
 //! that read it and talk to each other, and the ways in which both go away.
 //!
 //! Entries are written in a format of this test: `config` holds `number shards`, and `leaf/NAME` holds
-//! `service data_centre state`, after which may stand `born=` and a number.
+//! `service data_centre state`, after which may stand `born=` and a number. `evacuate/DATA_CENTRE` evacuates it,
+//! whatever it holds.
 
 use std::{cmp, collections::BinaryHeap, sync::Arc};
 
@@ -19,10 +20,13 @@
 pub const READER: control::Reader =
     control::Reader { source: control::Source::Registry { kind_of, essence }, manifest, part };
 
+/// What the keys of evacuations begin with; a data centre follows.
+const EVACUATE: &str = "evacuate/";
+
 fn kind_of(key: &str) -> Option<catalog::Kind> {
     match key {
         "config" => Some(catalog::Kind::Config),
-        _ => key.starts_with("leaf/").then_some(catalog::Kind::Hosts),
+        _ => (key.starts_with("leaf/") || key.starts_with(EVACUATE)).then_some(catalog::Kind::Hosts),
     }
 }
 
@@ -31,6 +35,9 @@
     if key == "config" {
         return text;
     }
+    if let Some(centre) = key.strip_prefix(EVACUATE) {
+        return Arc::from(centre);
+    }
     let words = text.split(' ').enumerate().filter(|(place, word)| *place < 3 || word.starts_with("born="));
     let words: Vec<&str> = words.map(|(_, word)| word).collect();
     Arc::from(words.join(" "))
@@ -48,6 +55,9 @@
         let shards: usize = word().parse().unwrap_or_default();
         return Ok(plan::Part::Routing(routing(number, shards)));
     }
+    if let Some(centre) = key.strip_prefix(EVACUATE).filter(|centre| !centre.is_empty()) {
+        return Ok(plan::Part::Evacuation(vec![centre.into()]));
+    }
     if text.is_empty() {
         let problem = "the entry is empty".to_owned();
         let fault = plan::Fault { document: key.into(), place: plan::Place::default(), problem, remedy: String::new() };
@@ -475,7 +485,7 @@
 
     /// Whether a host may send new work to a leaf.
     pub fn may_use(&self, host: usize, leaf: &str) -> bool {
-        self.view(host).is_some_and(|view| view.servers.iter().flatten().any(|row| row.name == leaf && !row.leaving))
+        self.view(host).is_some_and(|view| view.servers.iter().flatten().any(|row| row.name == leaf && row.is_open()))
     }
 
     /// Hosts whose view has the configuration `number`.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -201,6 +201,7 @@
             plan::Reason::Reached => println!("{server}: reached"),
             plan::Reason::Label(label) => println!("{server}: not reached, lacks {label}"),
             plan::Reason::Leaving => println!("{server}: not reached, leaving"),
+            plan::Reason::Evacuated => println!("{server}: not reached, its data centre is evacuated"),
             plan::Reason::NotListed => println!("{server}: not reached, not in the list of hosts"),
         }
     }
@@ -266,6 +267,9 @@
     println!("{} in {}", status.host, status.data_centre);
     println!("  config {}, {}", status.config, age(status.config_age_ms));
     println!("  hosts  {}, {}", status.hosts, age(status.hosts_age_ms));
+    if !status.evacuated.is_empty() {
+        println!("  evacuated data centres: {}", status.evacuated.join(", "));
+    }
     println!("  watches the platform: {}; calls so far: {}", status.watcher, status.control.platform_calls);
     for fault in &status.refused {
         println!("  refused: {fault}");
--- a/crates/ctl/src/documents.rs
+++ b/crates/ctl/src/documents.rs
@@ -1,5 +1,5 @@
 //! Documents in a directory that is laid out like the platform's keys:
-//! `DIR/shallothub/services/NAME.yaml`, `selectors/`, `hosts/`, and the two manifests
+//! `DIR/shallothub/services/NAME.yaml`, `selectors/`, `evacuations/`, `hosts/`, and the two manifests
 //! `DIR/shallothub/config.yaml` and `DIR/shallothub/hosts.yaml`.
 
 use std::{fs, path};
@@ -14,10 +14,13 @@
 
 const ROOT: &str = "shallothub";
 
+/// Where operators say which data centres are evacuated; most of the time none is, and nobody needs the directory.
+const EVACUATIONS: &str = "evacuations";
+
 /// Which directories hold the parts of a catalog.
 fn folders(kind: catalog::Kind) -> &'static [&'static str] {
     match kind {
-        catalog::Kind::Config => &["services", "selectors"],
+        catalog::Kind::Config => &["services", "selectors", EVACUATIONS],
         catalog::Kind::Hosts => &["hosts"],
     }
 }
@@ -27,6 +30,9 @@
     let mut parts = IndexMap::new();
     for folder in folders(kind) {
         let folder_path = directory.join(ROOT).join(folder);
+        if folder == &EVACUATIONS && !folder_path.exists() {
+            continue;
+        }
         let path = folder_path.display().to_string();
         for entry in fs::read_dir(&folder_path).context(error::FileSnafu { path: &path })? {
             let file = entry.context(error::FileSnafu { path: &path })?.path();
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -296,6 +296,7 @@
             has_view: self.core.view().is_some(),
             members: self.core.members().map(|(name, state)| (name.clone(), state)).collect(),
             classes: classes.unwrap_or_default(),
+            evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
 }
@@ -351,6 +352,10 @@
             tracing::info!(%server, hold_ms = span.0, "a server is missing from the list and held");
         }
         note::Note::Gone { servers } => tracing::info!(servers = servers.join(","), "missing servers are gone"),
+        note::Note::Evacuated { data_centres, servers, stamp } => {
+            let data_centres = data_centres.join(",");
+            tracing::info!(data_centres, servers, hosts = %stamp, "evacuated data centres changed");
+        }
         note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "left an entry out"),
     }
 }
--- a/crates/node/src/lane/note.rs
+++ b/crates/node/src/lane/note.rs
@@ -34,9 +34,9 @@
             note::Note::Paused { gap, expired } => {
                 tracing::warn!(gap_ms = gap.0, expired, "the process was stopped for a while");
             }
-            note::Note::View { servers, leaving } => {
+            note::Note::View { servers, leaving, evacuated } => {
                 let view = self.state.borrow().core.view().stamp;
-                tracing::info!(stamp = %view, servers, leaving, "a lane took the view");
+                tracing::info!(stamp = %view, servers, leaving, evacuated, "a lane took the view");
             }
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -161,6 +161,7 @@
             ("messages_unknown", stats.unknown),
             ("catalogs_adopted", stats.adopted),
             ("catalogs_refused", stats.refused),
+            ("evacuations", stats.evacuations),
         ];
         for (name, value) in rows {
             self.control.with_label_values(&[name]).set(value as i64);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -103,6 +103,8 @@
     pub members: Vec<(CompactString, control::message::State)>,
     /// Selectors in force.
     pub classes: Vec<CompactString>,
+    /// Data centres that are evacuated, by the list of hosts and the configuration in force.
+    pub evacuated: Vec<CompactString>,
 }
 
 /// Where a node listens, with the ports that were given out where the settings say 0.
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,7 +1,7 @@
 //! The published documents: manifests, services, selectors and hosts.
 //!
 //! The key's second segment tells what a part holds: `shallothub/services/...`,
-//! `shallothub/selectors/...` or `shallothub/hosts/...`.
+//! `shallothub/selectors/...`, `shallothub/evacuations/...` or `shallothub/hosts/...`.
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,12 @@
     priority: u8,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Evacuations {
+    data_centres: Vec<CompactString>,
+}
+
 /// A part of the list of hosts, also as the platform's stand-in writes it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,11 +108,14 @@
         Some("services") => services(key, text),
         Some("selectors") => selectors(key, text),
         Some("hosts") => hosts(key, text),
+        Some("evacuations") => evacuations(key, text),
         _ => Err(vec![plan::Fault {
             document: CompactString::from(key),
             place: plan::Place::default(),
             problem: "the key does not tell what the part holds".to_owned(),
-            remedy: "name it shallothub/services/..., shallothub/selectors/... or shallothub/hosts/...".to_owned(),
+            remedy: "name it shallothub/services/..., shallothub/selectors/..., shallothub/evacuations/... or \
+                     shallothub/hosts/..."
+                .to_owned(),
         }]),
     }
 }
@@ -168,6 +177,11 @@
     Ok(plan::Part::Selectors(selectors))
 }
 
+fn evacuations(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
+    let document: Evacuations = yaml::read(key, text)?;
+    Ok(plan::Part::Evacuation(document.data_centres))
+}
+
 fn hosts(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
     let document: Hosts = yaml::read(key, text)?;
     Ok(plan::Part::Hosts { entry_hosts: document.entry_hosts, backend_servers: document.backend_servers })
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -68,6 +68,28 @@
     assert!(!fault.remedy.is_empty(), "{fault}");
 }
 
+/// Operators evacuate data centres by a document of their own.
+#[rstest]
+#[case::misspelt("data_centers: [north]", 1, "data_centers")]
+#[case::no_list("data_centres: north", 1, "")]
+fn a_faulty_evacuation_is_refused(#[case] text: &str, #[case] line: u64, #[case] problem: &str) {
+    let faults = document::part("shallothub/evacuations/now", text).expect_err("refused");
+    assert_eq!(faults[0].place.line, line, "{}", faults[0]);
+    assert!(faults[0].problem.contains(problem) && !faults[0].remedy.is_empty(), "{}", faults[0]);
+}
+
+#[rstest]
+#[case::twice("data_centres: [north, north]", "evacuated twice")]
+#[case::no_name("data_centres: [\"\"]", "has no name")]
+#[case::well("data_centres: [north, south]", "")]
+fn an_evacuation_is_checked(#[case] text: &str, #[case] problem: &str) {
+    let key = compact_str::CompactString::const_new("shallothub/evacuations/now");
+    let part = document::part(&key, text).expect("it can be read");
+    let faults = plan::check([(&key, &part)]);
+    assert_eq!(faults.len(), usize::from(!problem.is_empty()), "{faults:?}");
+    assert!(faults.iter().all(|fault| fault.problem.contains(problem) && !fault.remedy.is_empty()), "{faults:?}");
+}
+
 #[test]
 fn a_value_over_a_megabyte_is_refused_with_a_remedy() {
     let text = "#".repeat((1 << 20) + 1);
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -106,6 +106,15 @@
         self.remove(&opposite::entry(leaf).0);
     }
 
+    /// Evacuates a data centre, or takes that back.
+    pub fn set_evacuated(&self, data_centre: &str, is_evacuated: bool) {
+        let (key, text) = opposite::evacuation(data_centre);
+        match is_evacuated {
+            true => self.put(&key, &text),
+            false => self.remove(&key),
+        }
+    }
+
     /// Drops the history; watches that wait hear that it is gone.
     pub fn forget(&self) {
         let mut state = self.lock();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -206,6 +206,63 @@
     assert_eq!(served(&client(&deployment, node).ask(Kind::Gather, "g").await), 4);
 }
 
+/// Searches that have run at leafs of `data_centre`.
+fn runs_in(deployment: &Deployment, data_centre: &str) -> u32 {
+    let leafs = deployment.leafs.iter().filter(|leaf| leaf.entry.data_centre == data_centre);
+    leafs.map(|leaf| leaf.replica.ledger().runs.values().sum::<u32>()).sum()
+}
+
+/// Asks for searches until `most` of them in a row have run nothing in `data_centre`, or anything if it `is_used`.
+async fn ask_until(deployment: &Deployment, node: usize, data_centre: &str, is_used: bool, most: u32) -> bool {
+    let mut client = client(deployment, node);
+    let mut quiet = 0;
+    for round in 0..MOVED_MOST {
+        let before = runs_in(deployment, data_centre);
+        let name = format!("e{node}-{is_used}-{before}-{round}");
+        assert_eq!(served(&client.ask(Kind::Gather, &name).await), 4);
+        if runs_in(deployment, data_centre) > before {
+            if is_used {
+                return true;
+            }
+            quiet = 0;
+            continue;
+        }
+        quiet += 1;
+        if !is_used && quiet == most {
+            return true;
+        }
+    }
+    false
+}
+
+/// Operators evacuate the nodes' own data centre, where half of the leafs are, while searches run. Nothing runs there any more, a node
+/// that starts then sends nothing there either, not even first, and callers get whole answers all along. When the
+/// word is taken back the leafs are used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_data_centre_gets_no_searches() {
+    let mut deployment = started("evacuated", 2).await;
+    for leaf in deployment.leafs.iter_mut().skip(1).step_by(2) {
+        leaf.entry.data_centre = "there".into();
+        deployment.registry.register(&leaf.entry);
+    }
+    for node in 0..2 {
+        assert!(ask_until(&deployment, node, "here", true, 1).await, "node {node} does not use the data centre");
+    }
+    deployment.registry.set_evacuated("here", true);
+    for node in 0..2 {
+        assert!(ask_until(&deployment, node, "here", false, SETTLE).await, "node {node} still uses the data centre");
+    }
+    let before = runs_in(&deployment, "here");
+    let node = deployment.start_node().expect("a node");
+    assert!(deployment.wait_ready(node).await);
+    assert!(ask_until(&deployment, node, "here", false, SETTLE).await);
+    assert_eq!(runs_in(&deployment, "here"), before, "a node that started used the data centre");
+    deployment.registry.set_evacuated("here", false);
+    for node in 0..3 {
+        assert!(ask_until(&deployment, node, "here", true, 1).await, "node {node} does not use it again");
+    }
+}
+
 /// Without a configuration nobody can say that there is no such page: 503, and then 404.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_route_is_said_only_when_routes_are_known() {
