Send servers that warm up no more than they bear, from all hosts together

Cause: a service may bound the requests a second that a leaf bears while it warms up, and nothing read that. A data centre's leafs that came back together got 17 in a second where 14 are borne. Ruled out: health checks to hear of it sooner (dear, and take a slot); a token bucket with an equal part at each host (all are spent in one second after a quiet moment); one sender for each server (no gather is whole); a count of all hosts (nothing of ours writes shared state).

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -91,6 +91,7 @@
                 distance: view::Distance::Near,
                 own_share: None,
                 is_peer: false,
+                warm_up: None,
             }));
         }
         let service = registry.intern_service("service");
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -43,7 +43,7 @@
 const JOINED_PAUSE: clock::Millis = clock::Millis(500);
 
 /// Knobs of the control core.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// Hosts of each data centre that watch the platform. Default 1.
@@ -78,6 +78,11 @@
     /// How long servers go on serving after they were removed from the list, in ms; one that is missing
     /// still gets work for a part of it. Default 3000.
     pub serve_on: clock::Millis,
+    /// How many times the requests a second that a server bears while it warms up all hosts together may send it in
+    /// one second. Default 1.
+    pub warm_up_overage: f64,
+    /// Requests that all hosts together may send it on top of that. Default 0.
+    pub warm_up_slack: f64,
 }
 
 impl Default for Policy {
@@ -94,6 +99,8 @@
             start_wait: clock::Millis(300),
             member_forget: clock::Millis(60_000),
             serve_on: clock::Millis(3000),
+            warm_up_overage: 1.0,
+            warm_up_slack: 0.0,
         }
     }
 }
@@ -678,8 +685,16 @@
             is_open: true,
         };
         let is_settled = self.standing == Standing::Settled;
-        let fleet =
-            plan::Fleet { this: Some(&this), members, is_settled, relays: &relays, held: &held, reborn: &reborn };
+        let tolerance = view::Tolerance { overage: self.policy.warm_up_overage, slack: self.policy.warm_up_slack };
+        let fleet = plan::Fleet {
+            this: Some(&this),
+            members,
+            is_settled,
+            relays: &relays,
+            held: &held,
+            reborn: &reborn,
+            tolerance,
+        };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.note_evacuations(&view);
         self.view = Some(Arc::clone(&view));
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -26,13 +26,15 @@
     ConfigMonotonic,
     /// Extra attempts stay inside their budget.
     BoundedExtraLoad,
+    /// A server that warms up gets no more from this host than its part.
+    BoundedWarmUp,
     /// Attempts in flight at a server never exceed this host's share of its connections.
     BoundedConnections,
 }
 
 impl Name {
     /// Every promise, in the order of `docs/PROOFS.md`.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::OneSnapshot,
         Self::TrueCoverage,
         Self::OwnWholeAnswer,
@@ -42,6 +44,7 @@
         Self::NoWorkToEvacuated,
         Self::ConfigMonotonic,
         Self::BoundedExtraLoad,
+        Self::BoundedWarmUp,
         Self::BoundedConnections,
     ];
 
@@ -57,6 +60,7 @@
             Self::NoWorkToEvacuated => "no_work_to_evacuated",
             Self::ConfigMonotonic => "config_monotonic",
             Self::BoundedExtraLoad => "bounded_extra_load",
+            Self::BoundedWarmUp => "bounded_warm_up",
             Self::BoundedConnections => "bounded_connections",
         }
     }
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -5,7 +5,7 @@
 
 use crate::{id, mutant, view};
 
-use super::{BackendServer, EntryHost, Leaf, Part, Relay, Selector, Server, Service, State, routing, targets};
+use super::{BackendServer, EntryHost, Leaf, Part, Relay, Selector, Server, Service, State, WarmUp, routing, targets};
 
 /// Most connections to a server of a host that is not settled. After the death of a whole fleet each host
 /// knows only itself at first and would take all, while the server may still count those of the dead.
@@ -27,6 +27,8 @@
     pub held: &'l [Leaf],
     /// Servers whose listed entry is of an earlier life, as their present one described itself.
     pub reborn: &'l [Leaf],
+    /// How far above their bound all hosts together may be at servers that warm up.
+    pub tolerance: view::Tolerance,
 }
 
 /// Builds the view of accepted parts. Leaving marks are added to `registry` and taken from it, so
@@ -45,6 +47,7 @@
     let mut leafs: IndexMap<&CompactString, &Leaf> = IndexMap::new();
     let mut routings = Vec::new();
     let mut evacuated = IndexSet::new();
+    let mut entry_names = Vec::new();
     for part in parts {
         match part {
             Part::Services { entry_hosts_most, services: rows } => {
@@ -54,6 +57,7 @@
             Part::Selectors(rows) => selectors.extend(rows),
             Part::Hosts { entry_hosts: hosts, backend_servers } => {
                 entry_hosts += count_hosts(hosts);
+                entry_names.extend(hosts.iter().map(|host| host.name.clone()));
                 listed.extend(backend_servers.iter().map(|server| (&server.name, server)));
             }
             Part::Routing(routing) => routings.push(routing),
@@ -73,6 +77,8 @@
     let mut view = view::View {
         stamp: stamps[0],
         hosts_revision: stamps[1],
+        host: fleet.this.map(|this| this.name.clone()).unwrap_or_default(),
+        tolerance: fleet.tolerance,
         hosts: if mutant::is(mutant::Mutant::ShareByReach) { entry_hosts } else { most.max(entry_hosts) },
         evacuated,
         ..view::View::default()
@@ -81,6 +87,9 @@
     for server in services.values().flat_map(|service| &service.servers) {
         add_server(&mut view, server, listed.get(&server.name).copied(), registry);
     }
+    for service in services.values().filter(|service| service.warm_up.is_some()) {
+        add_warm_up(&mut view, service, &listed, &entry_names, registry);
+    }
     for selector in selectors {
         let Some(service) = services.get(&selector.service) else {
             continue;
@@ -104,11 +113,13 @@
     registry: &mut view::Registry,
 ) -> IndexMap<CompactString, Vec<id::Server>> {
     let here = fleet.this.map_or("", |this| this.data_centre.as_str());
-    let connections: IndexMap<&CompactString, u32> =
-        routing.services.iter().map(|service| (&service.name, service.connections)).collect();
+    let services: IndexMap<&CompactString, &routing::Backing> =
+        routing.services.iter().map(|service| (&service.name, service)).collect();
     let mut by_service: IndexMap<CompactString, Vec<id::Server>> = IndexMap::new();
     for leaf in leafs.values() {
-        let accepted = connections.get(&leaf.service).copied().unwrap_or_default();
+        let backing = services.get(&leaf.service);
+        let accepted = backing.map_or(0, |backing| backing.connections);
+        let warm_up = backing.and_then(|backing| backing.warm_up);
         // A server that accepts fewer connections than there are hosts turns some away; that is better
         // than hosts that cannot reach it at all.
         let equal = (accepted / view.hosts.max(1)).max(1);
@@ -128,6 +139,7 @@
             distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
             own_share: Some(if fleet.is_settled { share } else { share.min(UNSETTLED_SHARE) }),
             is_peer: false,
+            warm_up: warm_up.map(|warm_up| bound(warm_up, leaf.warming, &leaf.service, registry)),
         };
         put_server(view, id, server);
         by_service.entry(leaf.service.clone()).or_default().push(id);
@@ -135,6 +147,11 @@
     by_service
 }
 
+fn bound(warm_up: WarmUp, is_warming: bool, service: &str, registry: &mut view::Registry) -> view::WarmUp {
+    let WarmUp { span, rate } = warm_up;
+    view::WarmUp { is_warming, span, rate, service: registry.intern_service(service) }
+}
+
 fn is_evacuated(view: &view::View, data_centre: &CompactString) -> bool {
     view.evacuated.contains(data_centre) && !mutant::is(mutant::Mutant::IgnoreEvacuation)
 }
@@ -180,10 +197,32 @@
         distance: view::Distance::Near,
         own_share: None,
         is_peer: false,
+        warm_up: None,
     };
     put_server(view, id, row);
 }
 
+/// Adds what the servers of `service` bear while they warm up, and that all listed hosts may send to them.
+fn add_warm_up(
+    view: &mut view::View,
+    service: &Service,
+    listed: &IndexMap<&CompactString, &BackendServer>,
+    entry_hosts: &[CompactString],
+    registry: &mut view::Registry,
+) {
+    let Some(warm_up) = service.warm_up else {
+        return;
+    };
+    view.senders.insert(registry.intern_service(&service.name), entry_hosts.to_vec());
+    for server in &service.servers {
+        let id = registry.intern(&server.name);
+        let is_warming = listed.get(&server.name).is_some_and(|listed| listed.warming);
+        if let Some(row) = view.servers[id.index()].as_mut() {
+            row.warm_up = Some(bound(warm_up, is_warming, &service.name, registry));
+        }
+    }
+}
+
 fn class(selector: &Selector, service: &Service, registry: &mut view::Registry) -> view::Class {
     let budget = registry.intern_service(&service.name);
     let mut compiled = Vec::new();
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -61,7 +61,7 @@
 pub type Labels = IndexMap<CompactString, CompactString>;
 
 /// A service: how its data is cut into shards, and the servers that hold them.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Unique name.
     pub name: CompactString,
@@ -71,10 +71,21 @@
     pub shards: Vec<CompactString>,
     /// Its servers (leaves).
     pub servers: Vec<Server>,
+    /// What each of them bears while it warms up, if there is a bound.
+    pub warm_up: Option<WarmUp>,
     /// Where it stands.
     pub place: Place,
 }
 
+/// What a server of a service bears while it warms up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// How long it takes to be warm.
+    pub span: clock::Millis,
+    /// Requests a second that it bears meanwhile, from all hosts together; above 0.
+    pub rate: f64,
+}
+
 /// A backend server as operators describe it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Server {
@@ -174,6 +185,9 @@
     /// Raised each time it starts anew.
     #[serde(default)]
     pub incarnation: u64,
+    /// Whether it warms up.
+    #[serde(default)]
+    pub warming: bool,
 }
 
 /// One parsed part of a catalog.
--- a/crates/core/src/plan/relay.rs
+++ b/crates/core/src/plan/relay.rs
@@ -6,7 +6,7 @@
 
 use crate::{id, view};
 
-use super::{Leaf, owner};
+use super::{Fleet, Leaf, owner};
 
 /// Fewest shards for which a request is passed on: with less, the way to another host costs more than
 /// it saves.
@@ -66,6 +66,12 @@
         self.tiers.part(THIS)
     }
 
+    /// The names of the hosts that gather.
+    pub(super) fn owners<'f>(&self, fleet: &Fleet<'f>) -> Vec<&'f CompactString> {
+        let hosts: Vec<&Relay> = fleet.this.into_iter().chain(fleet.relays).collect();
+        self.tiers.owners.iter().filter_map(|&place| hosts.get(place)).map(|host| &host.name).collect()
+    }
+
     /// The hosts that gather for this one; `None` if it gathers itself.
     pub(super) fn target(
         &self,
@@ -137,6 +143,7 @@
         distance,
         own_share: Some(IN_FLIGHT),
         is_peer: true,
+        warm_up: None,
     };
     super::compile::put_server(view, id, server);
     id
--- a/crates/core/src/plan/routing.rs
+++ b/crates/core/src/plan/routing.rs
@@ -9,7 +9,7 @@
 use crate::{clock, ratio, route, view};
 
 use super::{
-    Fault, Place,
+    Fault, Place, WarmUp,
     compile::{self, Fleet},
     relay,
 };
@@ -67,12 +67,14 @@
 }
 
 /// A service to which routes lead.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Backing {
     /// Unique name.
     pub name: CompactString,
     /// Connections that each of its servers accepts from all hosts together.
     pub connections: u32,
+    /// What each of them bears while it warms up, if there is a bound.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// A server that registered itself.
@@ -90,6 +92,8 @@
     pub slots: u32,
     /// Whether it finishes what it has and goes.
     pub leaving: bool,
+    /// Whether it warms up.
+    pub warming: bool,
     /// Tells two lives of a server under one name apart: the later one is greater. 0 if it does not say.
     pub incarnation: u64,
 }
@@ -154,14 +158,17 @@
     view.limits = routing.limits;
     let sharings = sharings(routing, leafs, fleet);
     let mut shares = IndexMap::new();
+    let mut senders: IndexMap<&CompactString, IndexSet<&CompactString>> = IndexMap::new();
     for (services, sharing) in &sharings {
         for service in *services {
             // Two gathers over one service have the same leafs, and most often the same owners.
             let share = shares.entry(service.clone()).or_insert(0);
             *share = sharing.share().max(*share);
             view.parts.insert(registry.intern_service(service), sharing.part());
+            senders.entry(service).or_default().extend(sharing.owners(fleet));
         }
     }
+    add_senders(view, routing, &senders, fleet, registry);
     let by_service = compile::add_leafs(view, routing, leafs, fleet, &shares, registry);
     let mut target = |service: &CompactString| view::Target {
         shard: service.clone(),
@@ -195,6 +202,26 @@
     }
 }
 
+/// Adds the hosts that may send to servers that warm up: of a service that is gathered from, those that gather.
+fn add_senders(
+    view: &mut view::View,
+    routing: &Routing,
+    owners: &IndexMap<&CompactString, IndexSet<&CompactString>>,
+    fleet: &Fleet<'_>,
+    registry: &mut view::Registry,
+) {
+    let Some(this) = fleet.this.filter(|_| fleet.is_settled) else {
+        return;
+    };
+    for service in routing.services.iter().filter(|service| service.warm_up.is_some()) {
+        let hosts: Vec<CompactString> = match owners.get(&service.name) {
+            Some(owners) => owners.iter().copied().cloned().collect(),
+            None => [this].into_iter().chain(fleet.relays).map(|host| host.name.clone()).collect(),
+        };
+        view.senders.insert(registry.intern_service(&service.name), hosts);
+    }
+}
+
 /// How the gathers' shards are shared among hosts, by set of shards.
 fn sharings<'r>(
     routing: &'r Routing,
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -154,7 +154,10 @@
         let targets = class.branches.get(branch).map_or(&[][..], |branch| &branch.targets);
         let mut open = 0;
         for target in targets {
-            let can_serve = |&id: &id::Server| self.is_open(id) && self.servers[id.index()].share > 0;
+            let can_serve = |&id: &id::Server| {
+                let state = &self.servers[id.index()];
+                self.is_open(id) && state.share > 0 && !state.is_barred(self.now)
+            };
             open += usize::from(target.replicas.iter().any(can_serve));
         }
         open > 0 && class.least_coverage.is_met(open, targets.len())
@@ -173,6 +176,7 @@
                     Some(server) if server.leaving => "is leaving",
                     Some(server) if server.evacuated => "is in an evacuated data centre",
                     Some(_) if state.is_replaced => "is another one now",
+                    Some(_) if state.is_barred(self.now) => "warms up and gets nothing from this host",
                     Some(_) if state.share == 0 => "has no connection for this host",
                     Some(_) => continue,
                 };
--- a/crates/core/src/traffic/choose.rs
+++ b/crates/core/src/traffic/choose.rs
@@ -32,7 +32,8 @@
         let mut best: Option<(u8, view::Distance, u32, id::Server)> = None;
         let mut second: Option<(u8, view::Distance, u32, id::Server)> = None;
         for &id in replicas {
-            if !self.is_open(id) || !may_try_more && !state.was_tried(id) {
+            let may_send = self.is_open(id) && self.servers[id.index()].warm_up.may_send(self.now);
+            if !may_send || !may_try_more && !state.was_tried(id) {
                 continue;
             }
             let rank = self.rank(id, &state, want);
@@ -78,12 +79,14 @@
         let is_full = state.share == 0;
         let is_last = self.distance(id) == view::Distance::Last;
         let has_no_room = self.policy.prefer_room && !state.has_room(self.now);
-        u8::from(was_tried) * 32
-            + u8::from(is_full) * 16
-            + u8::from(is_out) * 8
-            + u8::from(is_last) * 4
-            + u8::from(lacks) * 2
-            + u8::from(has_no_room)
+        let is_cold = state.warm_up.is_cold(self.now) && self.policy.warm_first;
+        u8::from(was_tried) * 64
+            + u8::from(is_full) * 32
+            + u8::from(is_out) * 16
+            + u8::from(is_last) * 8
+            + u8::from(lacks) * 4
+            + u8::from(has_no_room) * 2
+            + u8::from(is_cold)
     }
 
     /// The replica that owns the request key on every host that has the same view, so that the
@@ -97,7 +100,7 @@
             let Some(published) = self.view.server(id) else {
                 continue;
             };
-            if !self.is_open(id) {
+            if !self.is_open(id) || !self.servers[id.index()].warm_up.may_send(self.now) {
                 continue;
             }
             let candidate = (rendezvous::weight(key, &published.name), id);
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -45,7 +45,7 @@
         let state = &mut self.servers[server.index()];
         state.waiting[priority].push_back(server::Wait { query, part });
         if state.inflight == 0 {
-            self.timers.push(state.shed_until().max(self.now + clock::Millis(1)), Timer::Pump(server));
+            self.timers.push(state.ready_at(self.now).max(self.now + clock::Millis(1)), Timer::Pump(server));
         }
     }
 
@@ -124,6 +124,10 @@
         }
         let state = &mut self.servers[server.index()];
         state.inflight += 1;
+        if !state.warm_up.on_sent(self.now) {
+            self.breach(invariant::Name::BoundedWarmUp, format!("{server} warms up"));
+        }
+        let state = &self.servers[server.index()];
         if state.inflight > state.share {
             let detail = format!("{server}: {} in flight, share {}", state.inflight, state.share);
             self.breach(invariant::Name::BoundedConnections, detail);
@@ -147,7 +151,7 @@
 
     /// Sends what waits at a server while it has room.
     pub(super) fn pump(&mut self, server: id::Server) {
-        if !self.is_open(server) {
+        if !self.is_open(server) || self.servers[server.index()].is_barred(self.now) {
             self.requeue(server);
             return;
         }
@@ -164,7 +168,7 @@
         }
         let state = &self.servers[server.index()];
         if state.inflight == 0 && state.waiting_len() > 0 {
-            let at = state.shed_until().max(self.now + clock::Millis(1));
+            let at = state.ready_at(self.now).max(self.now + clock::Millis(1));
             self.timers.push(at, Timer::Pump(server));
         }
     }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -6,7 +6,7 @@
 //! traffic thread and shares nothing with another.
 //!
 //! The systems stand in modules of their own: [`admit`] (limits and refusals), [`choose`] (which
-//! replica), [`dispatch`] (sending, queues at servers, retries), [`hedge`] (silence) and [`gather`]
+//! replica), [`dispatch`] (sending, queues at servers, retries), [`warm_up`] (servers that have just started), [`hedge`] (silence) and [`gather`]
 //! (snapshots, coverage, answers).
 
 mod admit;
@@ -27,6 +27,7 @@
 mod server;
 pub mod summary;
 mod timer;
+pub mod warm_up;
 pub mod why;
 
 use std::sync::Arc;
@@ -255,6 +256,7 @@
         let row = &mut self.servers[id.index()];
         let Some(published) = self.view.server(id) else {
             row.share = 0;
+            row.warm_up = warm_up::WarmUp::default();
             self.outputs.push(Output::Trim { server: id, keep: 0 });
             self.requeue(id);
             return false;
@@ -272,7 +274,15 @@
         if is_changed || is_reborn {
             self.outputs.push(Output::Trim { server: id, keep: share });
         }
-        if !published.is_open() {
+        let is_back = row.set_evacuated(published.evacuated);
+        row.warm_up.take(self.now, published.warm_up.as_ref(), is_back);
+        // One lane holds the right to send for the whole host.
+        let holds = id.0 % self.lane.count.max(1) == self.lane.index;
+        if row.warm_up.is_cold(self.now) {
+            let bound = published.warm_up.filter(|_| holds);
+            row.warm_up.set_pause(bound.and_then(|bound| self.view.warm_up_pause(&published.name, &bound)));
+        }
+        if !published.is_open() || self.servers[id.index()].is_barred(self.now) {
             self.requeue(id);
         }
         self.pump(id);
--- a/crates/core/src/traffic/room.rs
+++ b/crates/core/src/traffic/room.rs
@@ -59,13 +59,13 @@
 
     fn wait_at_server(&self, id: id::Server, priority: usize, usual: clock::Millis) -> clock::Millis {
         let state = &self.servers[id.index()];
-        if state.share == 0 {
+        if state.share == 0 || state.is_barred(self.now) {
             return clock::Millis::MAX;
         }
         let ahead = state.waiting_ahead(priority);
         if ahead == 0 && state.has_room(self.now) {
             return clock::Millis::ZERO;
         }
-        state.expected_wait(ahead, usual)
+        state.expected_wait(ahead, usual).max(state.ready_at(self.now).since(self.now))
     }
 }
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -4,7 +4,7 @@
 
 use crate::{clock, id, ratio, view};
 
-use super::{event, policy};
+use super::{event, policy, warm_up};
 
 /// Weight of the newest sample in the moving averages of slowness and trouble.
 const SAMPLE_WEIGHT: f64 = 0.2;
@@ -57,6 +57,10 @@
     pub(crate) ejected_until: clock::Millis,
     /// Another server was found at its address; nothing is sent there until the view changes.
     pub(crate) is_replaced: bool,
+    /// How little it gets while it warms up.
+    pub(crate) warm_up: warm_up::WarmUp,
+    /// Its data centre is evacuated.
+    is_evacuated: bool,
     /// Until when it is passed over because attempts were silent, and how often in a row.
     silent_until: clock::Millis,
     silences: u32,
@@ -90,6 +94,8 @@
             waiting: Default::default(),
             ejected_until: clock::Millis::ZERO,
             is_replaced: false,
+            warm_up: warm_up::WarmUp::default(),
+            is_evacuated: false,
             silent_until: clock::Millis::ZERO,
             silences: 0,
             word_at: clock::Millis::ZERO,
@@ -124,7 +130,31 @@
     }
 
     pub(crate) fn has_room(&self, now: clock::Millis) -> bool {
-        self.shed_until <= now && self.inflight < self.share.min(self.limit as u32)
+        self.ready_at(now) <= now && self.inflight < self.share.min(self.limit as u32)
+    }
+
+    /// When the next attempt may be sent, as far as the server has a say in it.
+    pub(crate) fn ready_at(&self, now: clock::Millis) -> clock::Millis {
+        self.shed_until.max(self.warm_up.next_at(now).unwrap_or(clock::Millis::MAX))
+    }
+
+    /// Whether this host may send it anything in the time to come.
+    pub(crate) fn is_barred(&self, now: clock::Millis) -> bool {
+        self.warm_up.next_at(now).is_none()
+    }
+
+    /// Takes whether its data centre is evacuated. `true` if that has just ended: what was learned of it is of
+    /// another time, and it gets its load back by and by.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool) -> bool {
+        let is_back = self.is_evacuated && !is_evacuated;
+        self.is_evacuated = is_evacuated;
+        if is_back {
+            self.limit = COLD_LIMIT;
+            self.answered = 0;
+            self.slowness = USUAL;
+            self.trouble = 0.0;
+        }
+        is_back
     }
 
     pub(crate) fn is_ejected(&self, now: clock::Millis) -> bool {
@@ -176,10 +206,6 @@
         self.word_at > since
     }
 
-    pub(crate) fn shed_until(&self) -> clock::Millis {
-        self.shed_until
-    }
-
     pub(crate) fn waiting_len(&self) -> usize {
         self.waiting.iter().map(VecDeque::len).sum()
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::{clock, id, ratio, route};
+use crate::{clock, id, ratio, route, traffic::warm_up};
 
 /// The identity of a configuration: versions rise, and the digest decides between two documents
 /// that operators raced to publish under one version, alike on every host.
@@ -72,7 +72,7 @@
 }
 
 /// A backend server as this view knows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Server {
     /// Operator's name, unique in the fleet.
     pub name: CompactString,
@@ -95,6 +95,21 @@
     pub own_share: Option<u32>,
     /// Another entry host, which gathers for this one.
     pub is_peer: bool,
+    /// What it bears while it warms up; `None` if its service gives no bound.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// What a server bears while it warms up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// Whether it says that it warms up.
+    pub is_warming: bool,
+    /// How long it takes to be warm.
+    pub span: clock::Millis,
+    /// Requests a second that it bears meanwhile, from all hosts together.
+    pub rate: f64,
+    /// Its service, which tells which hosts may send any; see [`View::senders`].
+    pub service: id::Service,
 }
 
 /// How far a server is, for the choice among replicas.
@@ -224,6 +239,29 @@
     pub servers: Vec<Option<Server>>,
     /// Data centres whose servers get no new work until operators take that back.
     pub evacuated: IndexSet<CompactString>,
+    /// This host's name; empty if the documents do not need it.
+    pub host: CompactString,
+    /// Hosts that may send requests to servers that warm up, by service, alike on all hosts that know the same
+    /// others. A host that may not have heard of all others has none here.
+    pub senders: IndexMap<id::Service, Vec<CompactString>>,
+    /// How far above the rate of [`WarmUp`] all hosts together may be in one second.
+    pub tolerance: Tolerance,
+}
+
+/// How far above a bound in requests a second all hosts together may be in any one second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Times the bound.
+    pub overage: f64,
+    /// Requests on top of that.
+    pub slack: f64,
+}
+
+impl Default for Tolerance {
+    /// Not at all.
+    fn default() -> Self {
+        Self { overage: 1.0, slack: 0.0 }
+    }
 }
 
 impl View {
@@ -232,6 +270,13 @@
         self.servers.get(id.index())?.as_ref()
     }
 
+    /// The pause after each request of this host to the server called `name` while it warms up; `None` if this host
+    /// may send it none.
+    pub fn warm_up_pause(&self, name: &str, bound: &WarmUp) -> Option<clock::Millis> {
+        let senders = self.senders.get(&bound.service)?;
+        warm_up::pause(name, bound.rate, self.tolerance, &self.host, senders)
+    }
+
     /// Whether new work may go to `id`.
     pub fn is_open(&self, id: id::Server) -> bool {
         self.server(id).is_some_and(Server::is_open)
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -26,6 +26,7 @@
         distance: view::Distance::Near,
         own_share: None,
         is_peer: false,
+        warm_up: None,
     };
     let class = view::Class {
         name: CompactString::const_new("ask"),
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -63,13 +63,16 @@
         let fault = plan::Fault { document: key.into(), place: plan::Place::default(), problem, remedy: String::new() };
         return Ok(plan::Part::Unreadable(fault));
     }
+    let (service, data_centre, state) = (word(), word(), word());
+    let (is_leaving, is_warming) = (state == "leaving", state == "warming");
     Ok(plan::Part::Leaf(plan::Leaf {
         name: CompactString::from(key.trim_start_matches("leaf/")),
-        service: word().into(),
-        data_centre: word().into(),
+        service: service.into(),
+        data_centre: data_centre.into(),
         address: format_compact!("{key}:80"),
         slots: 2,
-        leaving: word() == "leaving",
+        leaving: is_leaving,
+        warming: is_warming,
         incarnation: word().strip_prefix("born=").and_then(|born| born.parse().ok()).unwrap_or_default(),
     }))
 }
@@ -88,7 +91,7 @@
         priority: 0,
         to,
     };
-    let services = services.into_iter().map(|name| plan::Backing { name, connections: 56 }).collect();
+    let services = services.into_iter().map(|name| plan::Backing { name, connections: 56, warm_up: None }).collect();
     plan::Routing { number, routes: vec![route], services, limits: None }
 }
 
--- a/crates/core/tests/town/mod.rs
+++ b/crates/core/tests/town/mod.rs
@@ -680,6 +680,7 @@
                 distance: if is_near { view::Distance::Near } else { view::Distance::Far },
                 own_share: None,
                 is_peer: false,
+                warm_up: None,
             }));
         }
         targets.push(view::Target { service: registry.intern_service(&name), shard: name, replicas });
@@ -701,6 +702,7 @@
             distance: view::Distance::Near,
             own_share: Some(64),
             is_peer: true,
+            warm_up: None,
         }));
     }
     let peer = view::Target { shard: CompactString::const_new("peer"), service: id::Service::PEERS, replicas: relays };
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -28,6 +28,15 @@
     epoch: u64,
     shards: Vec<CompactString>,
     servers: Vec<Server>,
+    warm_up: Option<Spanned<WarmUp>>,
+}
+
+/// What each server of a service bears while it warms up.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WarmUp {
+    span_ms: clock::Millis,
+    requests_per_second: f64,
 }
 
 #[derive(Deserialize)]
@@ -132,15 +141,32 @@
 fn services(key: &str, text: &str) -> Result<plan::Part, Vec<plan::Fault>> {
     let document: Services = yaml::read(key, text)?;
     let mut services = Vec::with_capacity(document.services.len());
+    let mut faults = Vec::new();
     for service in document.services {
+        let place = service.warm_up.as_ref().map(|warm_up| yaml::place(warm_up.referenced));
+        let warm_up = service
+            .warm_up
+            .map(|warm_up| plan::WarmUp { span: warm_up.value.span_ms, rate: warm_up.value.requests_per_second });
+        if warm_up.is_some_and(|warm_up| !(warm_up.rate > 0.0 && warm_up.rate.is_finite())) {
+            faults.push(plan::Fault {
+                document: CompactString::from(key),
+                place: place.unwrap_or_default(),
+                problem: format!("servers of `{}` bear no requests while they warm up", service.name.value),
+                remedy: "set `requests_per_second` above 0, or leave `warm_up` out".to_owned(),
+            });
+        }
         services.push(plan::Service {
             place: yaml::place(service.name.referenced),
             name: service.name.value,
             epoch: service.epoch,
             shards: service.shards,
             servers: service.servers.into_iter().map(server).collect(),
+            warm_up,
         });
     }
+    if !faults.is_empty() {
+        return Err(faults);
+    }
     Ok(plan::Part::Services { entry_hosts_most: document.entry_hosts_most, services })
 }
 
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -136,6 +136,7 @@
             address: format_compact!("{}", proxy.address),
             slots,
             leaving: false,
+            warming: false,
         };
         let replica = replica::Replica::start(&id, service, slots, listener);
         self.registry.register(&entry);
@@ -310,7 +311,7 @@
     let letters = || plan::Destination::Services(vec![(CompactString::const_new("letters"), 1.0)]);
     let mut services: Vec<CompactString> = shards.to_vec();
     services.push("letters".into());
-    let backing = |name| plan::Backing { name, connections: 40 };
+    let backing = |name| plan::Backing { name, connections: 40, warm_up: None };
     plan::Routing {
         number,
         routes: vec![route("gather", true, gather), route("read", true, letters()), route("write", false, letters())],
--- a/crates/standin/src/publish.rs
+++ b/crates/standin/src/publish.rs
@@ -76,6 +76,7 @@
         data_centre: CompactString::from(data_centre),
         address: format_compact!("{address}"),
         state: plan::State::Live,
+        warming: false,
         incarnation: 1,
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,6 +9,7 @@
 
 use nix::sys::signal::Signal;
 use rstest::rstest;
+use shallothub_core::{clock, plan};
 use shallothub_platform::opposite;
 use shallothub_soak::{
     client::{self, Client, End, Kind},
@@ -263,6 +264,64 @@
     }
 }
 
+/// All leafs of the shards say that they warm up, and bear few requests a second until then. Three nodes get searches
+/// as fast as they answer; the leafs get no more than they bear, whatever the nodes do with the rest. Once they are
+/// warm, searches are whole again.
+#[tokio::test(flavor = "multi_thread")]
+async fn leafs_that_warm_up_get_no_more_than_they_bear() {
+    const RATE: f64 = 6.0;
+    let mut deployment = started("warm-up", 3).await;
+    let set_warming = |deployment: &mut Deployment, is_warming: bool| {
+        for leaf in deployment.leafs.iter_mut().filter(|leaf| leaf.entry.service != "letters") {
+            leaf.entry.warming = is_warming;
+            deployment.registry.register(&leaf.entry);
+        }
+    };
+    for service in &mut deployment.routing.services {
+        service.warm_up = Some(plan::WarmUp { span: clock::Millis(3000), rate: RATE });
+    }
+    deployment.routing.number += 1;
+    deployment.registry.configure(&deployment.routing);
+    set_warming(&mut deployment, true);
+    // Until a node has the news, it sends as before.
+    for node in 0..3 {
+        let mut client = client(&deployment, node);
+        let mut refused = 0;
+        for round in 0..MOVED_MOST {
+            refused += u32::from(served(&client.ask(Kind::Gather, &format!("n{node}-{round}")).await) == 0);
+            if refused >= SETTLE {
+                break;
+            }
+        }
+        assert!(refused >= SETTLE, "node {node} sends as before");
+    }
+    let count = |deployment: &Deployment| -> Vec<u32> {
+        deployment.leafs.iter().map(|leaf| leaf.replica.ledger().runs.values().sum()).collect()
+    };
+    let (before, since) = (count(&deployment), std::time::Instant::now());
+    let mut clients: Vec<Client> = (0..3).map(|node| client(&deployment, node)).collect();
+    for round in 0..300 {
+        clients[round % 3].ask(Kind::Gather, &format!("c-{round}")).await;
+    }
+    let borne = (RATE * (since.elapsed().as_secs_f64() + 1.0)).ceil() as u32;
+    for (before, after) in before.iter().zip(count(&deployment)) {
+        assert!(after - before <= borne, "{} runs where {borne} are borne", after - before);
+    }
+    set_warming(&mut deployment, false);
+    let mut whole = 0;
+    for round in 0..MOVED_MOST {
+        if served(&clients[round as usize % 3].ask(Kind::Gather, &format!("w-{round}")).await) < 4 {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        whole += 1;
+        if whole == SETTLE {
+            return;
+        }
+    }
+    panic!("only {whole} searches are whole");
+}
+
 /// Without a configuration nobody can say that there is no such page: 503, and then 404.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_route_is_said_only_when_routes_are_known() {
