Keep requests and their bodies in the regions that their route names

Cause: a route may name homes, and nothing read them: its requests went to leafs and helping hosts of any region. Ruled out: a filter at the choice of a server alone, where admission counts servers that may not be used. Change: compiled views have only servers and gathering hosts at home; each choice, queue and second question asks the homes in force again; regions of data centres come from the settings (the platform's zones), own selectors may have homes too, with checks; a data centre whose region is unknown is no home.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -104,6 +104,7 @@
         peer: mesh::peer(0),
         seeds: vec![mesh::peer(1)],
         relay: CompactString::default(),
+        regions: Default::default(),
         power: 0,
     };
     control::Core::new(control::Policy::default(), identity, document::READER, 1, clock::Millis(1))
--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -88,6 +88,7 @@
                 slots: size.slots as u32,
                 leaving: false,
                 evacuated: false,
+                region: CompactString::default(),
                 distance: view::Distance::Near,
                 own_share: None,
                 is_peer: false,
@@ -111,6 +112,7 @@
         aim: None,
         shape: view::Shape::Hits,
         servers_most: None,
+        homes: Vec::new(),
         relay: None,
         branches: vec![view::Branch { weight: 1.0, targets }],
     };
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -121,6 +121,8 @@
     pub relay: CompactString,
     /// Its processor, in thousandths of a core.
     pub power: u32,
+    /// The region of each data centre, if operators have given them.
+    pub regions: plan::Regions,
 }
 
 /// What a host knows of its own start, where hosts learn of each other by gossip.
@@ -694,6 +696,7 @@
             held: &held,
             reborn: &reborn,
             tolerance,
+            regions: Some(&self.identity.regions),
         };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.note_evacuations(&view);
--- a/crates/core/src/plan/check.rs
+++ b/crates/core/src/plan/check.rs
@@ -159,6 +159,12 @@
     if usize::from(selector.priority) >= view::Class::PRIORITIES {
         fault(format!("selector `{name}` has no such priority"), "use 0 (first) to 3 (last)".to_owned());
     }
+    if selector.homes.iter().any(CompactString::is_empty) {
+        fault(
+            format!("selector `{name}`: one of its homes has no name"),
+            "name regions, or leave `homes` out".to_owned(),
+        );
+    }
     if selector.hedge && !selector.idempotent {
         fault(
             format!("selector `{name}` hedges requests that must run at most once"),
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -5,7 +5,9 @@
 
 use crate::{id, mutant, view};
 
-use super::{BackendServer, EntryHost, Leaf, Part, Relay, Selector, Server, Service, State, WarmUp, routing, targets};
+use super::{
+    BackendServer, EntryHost, Leaf, Part, Regions, Relay, Selector, Server, Service, State, WarmUp, routing, targets,
+};
 
 /// Most connections to a server of a host that is not settled. After the death of a whole fleet each host
 /// knows only itself at first and would take all, while the server may still count those of the dead.
@@ -29,6 +31,8 @@
     pub reborn: &'l [Leaf],
     /// How far above their bound all hosts together may be at servers that warm up.
     pub tolerance: view::Tolerance,
+    /// The region of each data centre, if that is known.
+    pub regions: Option<&'l Regions>,
 }
 
 /// Builds the view of accepted parts. Leaving marks are added to `registry` and taken from it, so
@@ -85,7 +89,7 @@
     };
     view.hosts = view.hosts.max(fleet.members);
     for server in services.values().flat_map(|service| &service.servers) {
-        add_server(&mut view, server, listed.get(&server.name).copied(), registry);
+        add_server(&mut view, server, listed.get(&server.name).copied(), fleet.regions, registry);
     }
     for service in services.values().filter(|service| service.warm_up.is_some()) {
         add_warm_up(&mut view, service, &listed, &entry_names, registry);
@@ -94,7 +98,8 @@
         let Some(service) = services.get(&selector.service) else {
             continue;
         };
-        view.classes.insert(selector.name.clone(), class(selector, service, registry));
+        let class = class(selector, service, &view, registry);
+        view.classes.insert(selector.name.clone(), class);
     }
     for routing in routings {
         routing::add(&mut view, routing, &leafs, &fleet, registry);
@@ -104,19 +109,19 @@
 
 /// Adds the servers that registered themselves, and returns them by service. `shares` are this host's
 /// shares of connections, by service, where they do not follow from the number of hosts.
-pub(super) fn add_leafs(
+pub(super) fn add_leafs<'l>(
     view: &mut view::View,
     routing: &routing::Routing,
-    leafs: &IndexMap<&CompactString, &Leaf>,
+    leafs: &IndexMap<&CompactString, &'l Leaf>,
     fleet: &Fleet<'_>,
     shares: &IndexMap<CompactString, u32>,
     registry: &mut view::Registry,
-) -> IndexMap<CompactString, Vec<id::Server>> {
+) -> IndexMap<CompactString, Vec<(id::Server, &'l Leaf)>> {
     let here = fleet.this.map_or("", |this| this.data_centre.as_str());
     let services: IndexMap<&CompactString, &routing::Backing> =
         routing.services.iter().map(|service| (&service.name, service)).collect();
-    let mut by_service: IndexMap<CompactString, Vec<id::Server>> = IndexMap::new();
-    for leaf in leafs.values() {
+    let mut by_service: IndexMap<CompactString, Vec<(id::Server, &Leaf)>> = IndexMap::new();
+    for &leaf in leafs.values() {
         let backing = services.get(&leaf.service);
         let accepted = backing.map_or(0, |backing| backing.connections);
         let warm_up = backing.and_then(|backing| backing.warm_up);
@@ -136,13 +141,14 @@
             slots: leaf.slots,
             leaving: registry.is_leaving(id, leaf.incarnation),
             evacuated: is_evacuated(view, &leaf.data_centre),
+            region: CompactString::from(routing::region(fleet.regions, &leaf.data_centre)),
             distance: if leaf.data_centre == here { view::Distance::Near } else { view::Distance::Far },
             own_share: Some(if fleet.is_settled { share } else { share.min(UNSETTLED_SHARE) }),
             is_peer: false,
             warm_up: warm_up.map(|warm_up| bound(warm_up, leaf.warming, &leaf.service, registry)),
         };
         put_server(view, id, server);
-        by_service.entry(leaf.service.clone()).or_default().push(id);
+        by_service.entry(leaf.service.clone()).or_default().push((id, leaf));
     }
     by_service
 }
@@ -174,7 +180,13 @@
     count
 }
 
-fn add_server(view: &mut view::View, server: &Server, listed: Option<&BackendServer>, registry: &mut view::Registry) {
+fn add_server(
+    view: &mut view::View,
+    server: &Server,
+    listed: Option<&BackendServer>,
+    regions: Option<&Regions>,
+    registry: &mut view::Registry,
+) {
     let id = registry.intern(&server.name);
     if view.servers.len() <= id.index() {
         view.servers.resize(id.index() + 1, None);
@@ -194,6 +206,7 @@
         slots: server.slots,
         leaving: is_marked || registry.is_leaving(id, listed.incarnation),
         evacuated: is_evacuated(view, &listed.data_centre),
+        region: CompactString::from(routing::region(regions, &listed.data_centre)),
         distance: view::Distance::Near,
         own_share: None,
         is_peer: false,
@@ -223,11 +236,16 @@
     }
 }
 
-fn class(selector: &Selector, service: &Service, registry: &mut view::Registry) -> view::Class {
+fn class(selector: &Selector, service: &Service, view: &view::View, registry: &mut view::Registry) -> view::Class {
     let budget = registry.intern_service(&service.name);
     let mut compiled = Vec::new();
     for (shard, servers) in targets(selector, service) {
-        let replicas = servers.iter().map(|server| registry.intern(&server.name)).collect();
+        let ids = servers.iter().map(|server| registry.intern(&server.name));
+        let is_home = |id: &id::Server| {
+            let region = view.server(*id).map_or("", |server| server.region.as_str());
+            view::is_home(&selector.homes, region)
+        };
+        let replicas = ids.filter(is_home).collect();
         compiled.push(view::Target { shard, service: budget, replicas });
     }
     view::Class {
@@ -244,6 +262,7 @@
         idempotent: selector.idempotent,
         hedge: selector.hedge,
         priority: selector.priority,
+        homes: selector.homes.clone(),
         branches: vec![view::Branch { weight: 1.0, targets: compiled }],
         relay: None,
     }
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// The region of each data centre.
+pub type Regions = IndexMap<CompactString, CompactString>;
+
 /// Labels of a server.
 pub type Labels = IndexMap<CompactString, CompactString>;
 
@@ -139,6 +142,8 @@
     pub hedge: bool,
     /// See [`view::Class::priority`].
     pub priority: u8,
+    /// See [`view::Class::homes`].
+    pub homes: Vec<CompactString>,
     /// Where it stands.
     pub place: Place,
 }
--- a/crates/core/src/plan/relay.rs
+++ b/crates/core/src/plan/relay.rs
@@ -6,12 +6,12 @@
 
 use crate::{id, view};
 
-use super::{Fleet, Leaf, owner};
+use super::{Fleet, Leaf, Regions, owner, routing};
 
 /// Fewest shards for which a request is passed on: with less, the way to another host costs more than
 /// it saves.
 const SHARDS_LEAST: usize = 4;
-/// Part of the busiest data centre's servers that a home has at least.
+/// Part of the busiest data centre's servers that another one has at least in which hosts gather too.
 const HOME_PART: f64 = 0.5;
 /// Requests that this host may have in flight at another one. Each is answered in well under a second.
 const IN_FLIGHT: u32 = 64;
@@ -31,65 +31,93 @@
     pub is_open: bool,
 }
 
+/// A gather, as far as it matters who does it.
+pub(super) struct Gather<'g> {
+    /// Names the set of shards.
+    pub(super) set: &'g str,
+    /// The shards' services.
+    pub(super) services: &'g [CompactString],
+    /// Regions in which it may be done; none if that may be anywhere.
+    pub(super) homes: &'g [CompactString],
+    /// Connections that each leaf accepts.
+    pub(super) connections: u32,
+}
+
 /// How the shards of one gather are shared among hosts, as this one sees it.
 pub(super) struct Sharing {
     tiers: owner::Tiers,
+    /// Each candidate's place among this host and the relays, in which this host is [`THIS`]. Hosts of regions in
+    /// which the gather may not be done are no candidates.
+    places: Vec<usize>,
     connections: u32,
 }
 
-/// This host's place in the list of candidates.
+/// This host's place in the list of all hosts.
 const THIS: usize = 0;
 
 impl Sharing {
-    /// The sharing of the set of `services`, each with its leafs, among `this` host and `relays`.
+    /// The sharing of `gather` over `leafs`, by service, among `this` host and `relays`.
     pub(super) fn new(
-        set: &str,
-        services: &[CompactString],
+        gather: &Gather<'_>,
         leafs: &IndexMap<CompactString, Vec<&Leaf>>,
-        connections: u32,
         this: &Relay,
         relays: &[Relay],
+        regions: Option<&Regions>,
     ) -> Self {
-        let mut candidates = vec![candidate(this)];
-        candidates.extend(relays.iter().map(candidate));
-        let homes = homes(services, leafs);
-        Self { tiers: owner::Tiers::new(set, &homes, &candidates, connections), connections }
+        let is_home = |data_centre: &str| view::is_home(gather.homes, routing::region(regions, data_centre));
+        let (mut candidates, mut places) = (Vec::new(), Vec::new());
+        for (place, host) in [this].into_iter().chain(relays).enumerate() {
+            if is_home(&host.data_centre) {
+                candidates.push(candidate(host));
+                places.push(place);
+            }
+        }
+        let centres = centres(gather.services, leafs, is_home);
+        let tiers = owner::Tiers::new(gather.set, &centres, &candidates, gather.connections);
+        Self { tiers, places, connections: gather.connections }
+    }
+
+    /// This host's place among the candidates, if it is one.
+    fn this(&self) -> Option<usize> {
+        self.places.first().filter(|&&place| place == THIS).map(|_| 0)
     }
 
     /// This host's share of the connections of each leaf.
     pub(super) fn share(&self) -> u32 {
-        self.tiers.share(THIS, self.connections)
+        self.this().map_or(0, |place| self.tiers.share(place, self.connections))
     }
 
     /// This host's part of the bounds that all hosts keep together, as a share.
     pub(super) fn part(&self) -> f64 {
-        self.tiers.part(THIS)
+        self.this().map_or(0.0, |place| self.tiers.part(place))
     }
 
     /// The names of the hosts that gather.
     pub(super) fn owners<'f>(&self, fleet: &Fleet<'f>) -> Vec<&'f CompactString> {
         let hosts: Vec<&Relay> = fleet.this.into_iter().chain(fleet.relays).collect();
-        self.tiers.owners.iter().filter_map(|&place| hosts.get(place)).map(|host| &host.name).collect()
+        let owners = self.tiers.owners.iter().filter_map(|&place| self.places.get(place));
+        owners.filter_map(|&place| hosts.get(place)).map(|host| &host.name).collect()
     }
 
     /// The hosts that gather for this one; `None` if it gathers itself.
     pub(super) fn target(
         &self,
         shards: usize,
-        this: &Relay,
-        relays: &[Relay],
+        fleet: &Fleet<'_>,
         view: &mut view::View,
         registry: &mut view::Registry,
     ) -> Option<view::Target> {
-        let is_owner = self.tiers.owners.contains(&THIS);
+        let is_owner = self.this().is_some_and(|place| self.tiers.owners.contains(&place));
         if is_owner || shards < SHARDS_LEAST {
             return None;
         }
+        let this = fleet.this?;
         let mut replicas = Vec::new();
         let owners = self.tiers.owners.iter().map(|&place| (place, false));
         let seconds = self.tiers.seconds.iter().map(|&place| (place, true));
         for (place, is_second) in owners.chain(seconds) {
-            let Some(relay) = place.checked_sub(1).and_then(|place| relays.get(place)) else {
+            let place = self.places.get(place).and_then(|place| place.checked_sub(1));
+            let Some(relay) = place.and_then(|place| fleet.relays.get(place)) else {
                 continue;
             };
             if !relay.is_open {
@@ -100,7 +128,8 @@
                 (false, true) => view::Distance::Near,
                 (false, false) => view::Distance::Far,
             };
-            replicas.push(add_peer(relay, distance, view, registry));
+            let region = routing::region(fleet.regions, &relay.data_centre);
+            replicas.push(add_peer(relay, distance, region, view, registry));
         }
         (!replicas.is_empty()).then(|| view::Target {
             shard: CompactString::const_new("peer"),
@@ -114,11 +143,17 @@
     owner::Candidate { name: relay.name.clone(), data_centre: relay.data_centre.clone(), power: relay.power }
 }
 
-/// Data centres that hold many of the leafs.
-fn homes(services: &[CompactString], leafs: &IndexMap<CompactString, Vec<&Leaf>>) -> IndexSet<CompactString> {
+/// Data centres that hold many of the leafs, of those that are `allowed`.
+fn centres(
+    services: &[CompactString],
+    leafs: &IndexMap<CompactString, Vec<&Leaf>>,
+    allowed: impl Fn(&str) -> bool,
+) -> IndexSet<CompactString> {
     let mut counts: IndexMap<&CompactString, usize> = IndexMap::new();
     for leaf in services.iter().filter_map(|service| leafs.get(service)).flatten() {
-        *counts.entry(&leaf.data_centre).or_default() += 1;
+        if allowed(&leaf.data_centre) {
+            *counts.entry(&leaf.data_centre).or_default() += 1;
+        }
     }
     let most = counts.values().copied().max().unwrap_or_default();
     let is_home = |count: usize| count as f64 >= HOME_PART * most as f64;
@@ -128,6 +163,7 @@
 fn add_peer(
     relay: &Relay,
     distance: view::Distance,
+    region: &str,
     view: &mut view::View,
     registry: &mut view::Registry,
 ) -> id::Server {
@@ -140,6 +176,7 @@
         slots: IN_FLIGHT,
         leaving: false,
         evacuated: false,
+        region: CompactString::from(region),
         distance,
         own_share: Some(IN_FLIGHT),
         is_peer: true,
--- a/crates/core/src/plan/routing.rs
+++ b/crates/core/src/plan/routing.rs
@@ -9,7 +9,7 @@
 use crate::{clock, ratio, route, view};
 
 use super::{
-    Fault, Place, WarmUp,
+    Fault, Place, Regions, WarmUp,
     compile::{self, Fleet},
     relay,
 };
@@ -46,6 +46,8 @@
     pub servers_most: u8,
     /// 0 is served first.
     pub priority: u8,
+    /// Regions in which its requests may be run and gathered; none if that may be anywhere.
+    pub homes: Vec<CompactString>,
     /// Where its requests go.
     pub to: Destination,
 }
@@ -119,6 +121,9 @@
         if !is_framed {
             fault(format!("route `{name}`: the prefix `{}` is no directory", route.prefix), "begin and end with /");
         }
+        if route.homes.iter().any(CompactString::is_empty) {
+            fault(format!("route `{name}`: one of its homes has no name"), "name regions, or give it no homes");
+        }
         if route.timeout == clock::Millis::ZERO {
             fault(format!("route `{name}` gives no time"), "set a time above 0");
         }
@@ -157,9 +162,10 @@
     view.number = routing.number;
     view.limits = routing.limits;
     let sharings = sharings(routing, leafs, fleet);
+    let regions = fleet.regions;
     let mut shares = IndexMap::new();
     let mut senders: IndexMap<&CompactString, IndexSet<&CompactString>> = IndexMap::new();
-    for (services, sharing) in &sharings {
+    for ((services, _), sharing) in &sharings {
         for service in *services {
             // Two gathers over one service have the same leafs, and most often the same owners.
             let share = shares.entry(service.clone()).or_insert(0);
@@ -170,10 +176,14 @@
     }
     add_senders(view, routing, &senders, fleet, registry);
     let by_service = compile::add_leafs(view, routing, leafs, fleet, &shares, registry);
-    let mut target = |service: &CompactString| view::Target {
-        shard: service.clone(),
-        service: registry.intern_service(service),
-        replicas: by_service.get(service).cloned().unwrap_or_default(),
+    let mut target = |service: &CompactString, homes: &[CompactString]| {
+        let leafs = by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let is_home = |leaf: &&Leaf| view::is_home(homes, region(regions, &leaf.data_centre));
+        view::Target {
+            shard: service.clone(),
+            service: registry.intern_service(service),
+            replicas: leafs.iter().filter(|(_, leaf)| is_home(leaf)).map(|(id, _)| *id).collect(),
+        }
     };
     let mut classes = Vec::new();
     for route in &routing.routes {
@@ -181,11 +191,11 @@
         match &route.to {
             Destination::Services(services) => {
                 for (service, weight) in services.iter().filter(|(_, weight)| *weight > 0.0) {
-                    branches.push(view::Branch { weight: *weight, targets: vec![target(service)] });
+                    branches.push(view::Branch { weight: *weight, targets: vec![target(service, &route.homes)] });
                 }
             }
             Destination::Gather { services, .. } => {
-                let targets = services.iter().map(&mut target).collect();
+                let targets = services.iter().map(|service| target(service, &route.homes)).collect();
                 branches.push(view::Branch { weight: 1.0, targets });
             }
         }
@@ -194,9 +204,9 @@
     }
     for (route, mut class) in routing.routes.iter().zip(classes) {
         if let Destination::Gather { services, .. } = &route.to
-            && let (Some(sharing), Some(this)) = (sharings.get(services.as_slice()), fleet.this)
+            && let Some(sharing) = sharings.get(&(services.as_slice(), route.homes.as_slice()))
         {
-            class.relay = sharing.target(services.len(), this, fleet.relays, view, registry);
+            class.relay = sharing.target(services.len(), fleet, view, registry);
         }
         view.classes.insert(class.name.clone(), class);
     }
@@ -222,12 +232,20 @@
     }
 }
 
-/// How the gathers' shards are shared among hosts, by set of shards.
+/// The region of `data_centre`; empty if that is not known.
+pub(super) fn region<'r>(regions: Option<&'r Regions>, data_centre: &str) -> &'r str {
+    regions.and_then(|regions| regions.get(data_centre)).map_or("", CompactString::as_str)
+}
+
+/// A set of shards, and the homes of the routes that gather from it.
+type Set<'r> = (&'r [CompactString], &'r [CompactString]);
+
+/// How the gathers' shards are shared among hosts, by set of shards and homes.
 fn sharings<'r>(
     routing: &'r Routing,
     leafs: &IndexMap<&CompactString, &Leaf>,
     fleet: &Fleet<'_>,
-) -> IndexMap<&'r [CompactString], relay::Sharing> {
+) -> IndexMap<Set<'r>, relay::Sharing> {
     let mut sharings = IndexMap::new();
     let Some(this) = fleet.this else {
         return sharings;
@@ -242,14 +260,16 @@
         let Destination::Gather { services, .. } = &route.to else {
             continue;
         };
-        if sharings.contains_key(services.as_slice()) {
+        let key = (services.as_slice(), route.homes.as_slice());
+        if sharings.contains_key(&key) {
             continue;
         }
         // The set is named by its first shard, so that gathers over one set have the same owners.
         let set = services.first().map_or("", CompactString::as_str);
         let accepted = services.iter().filter_map(|service| connections.get(service)).min().copied().unwrap_or(1);
-        let sharing = relay::Sharing::new(set, services, &by_service, accepted, this, fleet.relays);
-        sharings.insert(services.as_slice(), sharing);
+        let gather = relay::Gather { set, services, homes: &route.homes, connections: accepted };
+        let sharing = relay::Sharing::new(&gather, &by_service, this, fleet.relays, fleet.regions);
+        sharings.insert(key, sharing);
     }
     sharings
 }
@@ -277,6 +297,7 @@
         idempotent: route.idempotent,
         hedge: route.idempotent,
         priority: route.priority.min(view::Class::PRIORITIES as u8 - 1),
+        homes: route.homes.clone(),
         branches,
         relay: None,
     }
--- a/crates/core/src/traffic/choose.rs
+++ b/crates/core/src/traffic/choose.rs
@@ -33,7 +33,7 @@
         let mut second: Option<(u8, view::Distance, u32, id::Server)> = None;
         for &id in replicas {
             let may_send = self.is_open(id) && self.servers[id.index()].warm_up.may_send(self.now);
-            if !may_send || !may_try_more && !state.was_tried(id) {
+            if !may_send || !self.is_home(&class.name, id) || !may_try_more && !state.was_tried(id) {
                 continue;
             }
             let rank = self.rank(id, &state, want);
@@ -119,6 +119,15 @@
         self.view.is_open(id) && !self.servers[id.index()].is_replaced
     }
 
+    /// Whether requests of `class` may go to `id` by the view in force. Operators may have changed their homes since
+    /// a query began, and what waits in a queue was chosen by the view before.
+    pub(super) fn is_home(&self, class: &str, id: id::Server) -> bool {
+        let Some(class) = self.view.classes.get(class).filter(|class| !class.homes.is_empty()) else {
+            return true;
+        };
+        self.view.server(id).is_some_and(|server| class.may_go_to(&server.region))
+    }
+
     /// While versions roll, starts a query with the snapshot that most shards can give.
     pub(super) fn pick_snapshot(&mut self, query: id::Query) {
         let Some(row) = self.queries.get(query.0) else {
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -164,6 +164,11 @@
                 continue;
             }
             let kind = self.kind_of_next(wait);
+            let class = self.queries.get(wait.query.0).map(|row| &row.selector().name);
+            if class.is_some_and(|class| !self.is_home(class, server)) {
+                self.place(wait.query, wait.part, kind);
+                continue;
+            }
             self.send(wait.query, wait.part, server, kind);
         }
         let state = &self.servers[server.index()];
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -390,7 +390,10 @@
     fn holder(&self, row: &query::Query, part: u32, target: view::Snapshot) -> Option<id::Server> {
         let replicas = &row.target(part).replicas;
         let mut holders = replicas.iter().copied().filter(|&id| {
-            self.is_open(id) && self.servers[id.index()].holds(target) && !self.servers[id.index()].is_ejected(self.now)
+            self.is_open(id)
+                && self.is_home(&row.selector().name, id)
+                && self.servers[id.index()].holds(target)
+                && !self.servers[id.index()].is_ejected(self.now)
         });
         holders.next()
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -89,6 +89,8 @@
     /// Whether operators have evacuated its data centre. Unlike a leaving mark this ends: what counts is what
     /// the documents in force say.
     pub evacuated: bool,
+    /// The region of its data centre; empty if that is not known.
+    pub region: CompactString,
     /// How far it is from this host.
     pub distance: Distance,
     /// This host's share of its connections, where it does not follow from the number of hosts.
@@ -204,13 +206,25 @@
     pub hedge: bool,
     /// 0 is served first, [`Class::PRIORITIES`] - 1 last.
     pub priority: u8,
+    /// Regions in which its requests may be run and gathered; none if that may be anywhere.
+    pub homes: Vec<CompactString>,
     /// The alternatives; a request goes to one of them and is never moved to another.
     pub branches: Vec<Branch>,
     /// Other hosts that gather requests of this class for this one, if it does not do so itself.
     pub relay: Option<Target>,
 }
 
+/// Whether `region` is one of `homes`; any is if there are none.
+pub fn is_home(homes: &[CompactString], region: &str) -> bool {
+    homes.is_empty() || homes.iter().any(|home| home == region)
+}
+
 impl Class {
+    /// Whether its requests may go to a server in `region`. A region that is not known is no home.
+    pub fn may_go_to(&self, region: &str) -> bool {
+        is_home(&self.homes, region)
+    }
+
     /// The number of priorities.
     pub const PRIORITIES: usize = 4;
 }
--- a/crates/core/tests/driver/world.rs
+++ b/crates/core/tests/driver/world.rs
@@ -114,6 +114,7 @@
         peer: documents::peer(host),
         seeds: (0..documents::HOSTS).map(documents::peer).collect(),
         relay: CompactString::default(),
+        regions: Default::default(),
         power: 0,
     };
     let seed = seed ^ (host as u64) << 32 ^ u64::from(life) << 40;
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -78,6 +78,7 @@
                 // The first three hosts of its data centre.
                 seeds: (0..3).map(|step| peer((host % data_centres + step * data_centres) % count)).collect(),
                 relay: CompactString::default(),
+                regions: Default::default(),
                 power: 0,
             };
             addresses.insert(peer(host), host);
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -23,6 +23,7 @@
         slots: connections,
         leaving: false,
         evacuated: false,
+        region: CompactString::default(),
         distance: view::Distance::Near,
         own_share: None,
         is_peer: false,
@@ -46,6 +47,7 @@
         aim: None,
         shape: view::Shape::Hits,
         servers_most: None,
+        homes: Vec::new(),
         relay: None,
     };
     let stamp = view::Stamp { version: 1, digest: 1 };
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -89,6 +89,7 @@
         aim: Some(clock::Millis(100)),
         servers_most: 2,
         priority: 0,
+        homes: Vec::new(),
         to,
     };
     let services = services.into_iter().map(|name| plan::Backing { name, connections: 56, warm_up: None }).collect();
@@ -239,6 +240,7 @@
             peer: peer(host),
             seeds: (0..3).map(peer).collect(),
             relay: format_compact!("10.0.{}.{}:7391", host / 250, host % 250),
+            regions: Default::default(),
             power: 250,
         };
         control::Core::new(self.policy.clone(), identity, READER, self.random.random(), clock::Millis(self.now))
--- a/crates/core/tests/town/mod.rs
+++ b/crates/core/tests/town/mod.rs
@@ -677,6 +677,7 @@
                 slots: plan.slots as u32,
                 leaving: false,
                 evacuated: false,
+                region: CompactString::default(),
                 distance: if is_near { view::Distance::Near } else { view::Distance::Far },
                 own_share: None,
                 is_peer: false,
@@ -699,6 +700,7 @@
             slots: 64,
             leaving: false,
             evacuated: false,
+            region: CompactString::default(),
             distance: view::Distance::Near,
             own_share: Some(64),
             is_peer: true,
@@ -707,6 +709,7 @@
     }
     let peer = view::Target { shard: CompactString::const_new("peer"), service: id::Service::PEERS, replicas: relays };
     let class = view::Class {
+        homes: Vec::new(),
         name: CompactString::const_new("sweep"),
         service: CompactString::const_new("s0"),
         epoch: 0,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -67,6 +67,7 @@
             seeds: settings.seeds.iter().map(|seed| format_compact!("{seed}")).collect(),
             relay: shared.addresses.relay.map(|relay| format_compact!("{relay}")).unwrap_or_default(),
             power: (settings.processor * 1000.0) as u32,
+            regions: settings.regions.clone(),
         };
         let seed = catalog::Digest::of(&settings.name).0 ^ shared.origin.start();
         let now = shared.origin.now();
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -74,6 +74,8 @@
     hedge: bool,
     #[serde(default)]
     priority: u8,
+    #[serde(default)]
+    homes: Vec<CompactString>,
 }
 
 #[derive(Deserialize)]
@@ -198,6 +200,7 @@
             idempotent: row.idempotent,
             hedge: row.hedge,
             priority: row.priority,
+            homes: row.homes,
         });
     }
     Ok(plan::Part::Selectors(selectors))
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -27,6 +27,10 @@
     pub name: CompactString,
     /// Its data centre.
     pub data_centre: CompactString,
+    /// The region of each data centre, for selectors and routes that may be served in some regions only. Default
+    /// none; what has homes is then served nowhere.
+    #[serde(default)]
+    pub regions: plan::Regions,
     /// Which interface it speaks. Default `own`.
     #[serde(default)]
     pub interface: Interface,
@@ -144,6 +148,9 @@
             remedy: remedy.to_owned(),
         });
     };
+    if settings.regions.iter().any(|(data_centre, region)| data_centre.is_empty() || region.is_empty()) {
+        fault("`regions` has a data centre or a region without a name", "write DATA_CENTRE: REGION");
+    }
     if settings.traffic_threads == 0 {
         fault("`traffic_threads` is 0", "set it to 1 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -121,6 +121,7 @@
 #[case::band("traffic: {score_band: 0.5}", "`traffic.score_band` is below 1")]
 #[case::quantile("traffic: {hedge_quantile: 1.2}", "is no quantile")]
 #[case::silence("traffic: {silence_quantile: 0}", "is no quantile")]
+#[case::region("regions: {north: \"\"}", "without a name")]
 #[case::overage("control: {warm_up_overage: 0.5}", "`control.warm_up_overage` is below 1")]
 #[case::watchers("control: {watchers: 0}", "no watchers")]
 fn a_setting_out_of_range_has_a_remedy(#[case] line: &str, #[case] problem: &str) {
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -301,6 +301,7 @@
         aim: Some(clock::Millis(300)),
         servers_most: 2,
         priority: 1,
+        homes: Vec::new(),
         to,
     };
     let gather = plan::Destination::Gather {
