--- a/crates/core/src/traffic/choose.rs
+++ b/crates/core/src/traffic/choose.rs
@@ -79,7 +79,7 @@
         let is_full = state.share == 0;
         let is_last = self.distance(id) == view::Distance::Last;
         let has_no_room = self.policy.prefer_room && !state.has_room(self.now);
-        let is_cold = state.warm_up.is_cold(self.now) && self.policy.warm_first;
+        let is_cold = state.warm_up.is_cold(self.now);
         u8::from(was_tried) * 64
             + u8::from(is_full) * 32
             + u8::from(is_out) * 16
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -11,8 +11,6 @@
     /// Hedges allowed for each first attempt. Default 0.04: with the retries' share it keeps the
     /// extra load of a healthy fleet with one straggler in a hundred below 5%.
     pub hedge_fraction: f64,
-    /// Whether servers that warm up get work only where no warm one has room. Default true.
-    pub warm_first: bool,
     /// Quantile of the class's recent attempt latency after which a hedge may go out. Default 0.95.
     pub hedge_quantile: f64,
     /// Shortest wait before a hedge, in ms. Default 4.
@@ -113,7 +111,6 @@
     fn default() -> Self {
         Self {
             hedge_fraction: 0.04,
-            warm_first: true,
             hedge_quantile: 0.95,
             hedge_floor: clock::Millis(4),
             retry_fraction: 0.06,
