Evacuate a data centre and warm leafs up in the soak

Cause: the soak over real processes knew neither. Change: every second leaf is in another data centre, which is evacuated now and then and at the end; leafs say that they warm up; what nodes log of their own promises is judged.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -33,8 +33,13 @@
     pub shards: usize,
     /// Leafs of each shard.
     pub replicas: usize,
+    /// Whether every second leaf is in [`FAR`], the others and the nodes being in another data centre.
+    pub is_wide: bool,
 }
 
+/// The data centre of every second leaf in a wide deployment.
+pub const FAR: &str = "there";
+
 /// A leaf with the proxy before it.
 #[derive(Debug)]
 pub struct Leaf {
@@ -46,6 +51,8 @@
     pub proxy: Arc<proxy::Proxy>,
     /// Its own address, behind the proxy.
     pub address: net::SocketAddr,
+    /// Whether it crashed, so that it has no entry any more.
+    pub is_gone: bool,
 }
 
 /// A node.
@@ -83,6 +90,7 @@
     pub routing: plan::Routing,
     program: path::PathBuf,
     directory: path::PathBuf,
+    size: Size,
     started: usize,
     /// Extra lines for the nodes' settings.
     pub extra: String,
@@ -107,6 +115,7 @@
             program: program.to_owned(),
             directory: directory.to_owned(),
             started: 0,
+            size,
             extra: String::new(),
         };
         for shard in 0..size.shards {
@@ -126,6 +135,15 @@
     /// # Errors
     /// No port can be had.
     pub async fn start_leaf(&mut self, service: &str, slots: u32) -> std::io::Result<()> {
+        let is_far = self.size.is_wide && self.started.is_multiple_of(2);
+        self.start_leaf_in(if is_far { FAR } else { "here" }, service, slots).await
+    }
+
+    /// The same in a data centre.
+    ///
+    /// # Errors
+    /// No port can be had.
+    pub async fn start_leaf_in(&mut self, data_centre: &str, service: &str, slots: u32) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let proxy = proxy::Proxy::start(address).await?;
@@ -135,7 +153,7 @@
             incarnation: 0,
             name: id.clone(),
             service: service.into(),
-            data_centre: "here".into(),
+            data_centre: data_centre.into(),
             address: format_compact!("{}", proxy.address),
             slots,
             leaving: false,
@@ -143,7 +161,7 @@
         };
         let replica = replica::Replica::start(&id, service, slots, listener);
         self.registry.register(&entry);
-        self.leafs.push(Leaf { entry, replica, proxy, address });
+        self.leafs.push(Leaf { entry, replica, proxy, address, is_gone: false });
         Ok(())
     }
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -4,6 +4,7 @@
 
 use nix::sys::signal::Signal;
 use rand::{Rng, rngs};
+use shallothub_core::plan;
 use shallothub_standin::{registry, replica};
 
 use crate::{
@@ -48,6 +49,10 @@
     Configure,
     /// The index is cut anew.
     Reshard,
+    /// Operators evacuate the data centre of every second leaf.
+    Evacuate,
+    /// A leaf says that it warms up.
+    LeafWarms(usize),
 }
 
 const MANNERS: [replica::Manner; 9] = [
@@ -66,8 +71,13 @@
     [registry::Mode::Busy, registry::Mode::Away, registry::Mode::Silent, registry::Mode::Slow(300)];
 
 impl Fault {
-    /// Draws a fault for a deployment of `nodes` nodes and `leafs` leafs.
-    pub fn draw(random: &mut rngs::SmallRng, nodes: usize, leafs: usize) -> Self {
+    /// Draws a fault for a deployment of `nodes` nodes and `leafs` leafs, over two data centres or one. What a seed
+    /// draws for one data centre stays the same.
+    pub fn draw(random: &mut rngs::SmallRng, nodes: usize, leafs: usize, is_wide: bool) -> Self {
+        if is_wide && random.random_bool(0.15) {
+            let leaf = random.random_range(0..leafs);
+            return if random.random_bool(0.5) { Self::Evacuate } else { Self::LeafWarms(leaf) };
+        }
         let node = random.random_range(0..nodes);
         let leaf = random.random_range(0..leafs);
         let way = WAYS[random.random_range(0..WAYS.len())];
@@ -94,7 +104,16 @@
 
     /// Whether operators do this on purpose, so that callers must not notice.
     pub fn is_planned(self) -> bool {
-        matches!(self, Self::Term(_) | Self::HangUp(_) | Self::LeafLeaves(_) | Self::Configure | Self::Reshard)
+        matches!(
+            self,
+            Self::Term(_)
+                | Self::HangUp(_)
+                | Self::LeafLeaves(_)
+                | Self::Configure
+                | Self::Reshard
+                | Self::Evacuate
+                | Self::LeafWarms(_)
+        )
     }
 }
 
@@ -167,6 +186,7 @@
             }
             Fault::LeafCrash(leaf) => {
                 deployment.leafs[leaf].replica.crash();
+                deployment.leafs[leaf].is_gone = true;
                 deployment.registry.unregister(&deployment.leafs[leaf].entry.clone());
                 self.replace(deployment, leaf).await;
             }
@@ -175,6 +195,8 @@
             Fault::StoreForgets => deployment.registry.forget(),
             Fault::Configure => self.configure(deployment),
             Fault::Reshard => self.reshard(deployment).await,
+            Fault::Evacuate => deployment.registry.set_evacuated(deployment::FAR, true),
+            Fault::LeafWarms(leaf) => set_warming(deployment, leaf, true),
         }
         self.open.push_back(Mend { at: now + span, fault });
     }
@@ -201,6 +223,8 @@
                     leaf.replica.set(|knobs| *knobs = replica::Knobs::default());
                 }
             }
+            Fault::Evacuate => deployment.registry.set_evacuated(deployment::FAR, false),
+            Fault::LeafWarms(leaf) => set_warming(deployment, leaf, false),
             Fault::Store(_) => deployment.registry.set(registry::Mode::Proper),
             Fault::StoreWay(_) => {
                 deployment.registry_proxy.set(proxy::Way::Open);
@@ -211,11 +235,8 @@
     }
 
     async fn replace(&self, deployment: &mut Deployment, leaf: usize) {
-        let (service, slots) = {
-            let entry = &deployment.leafs[leaf].entry;
-            (entry.service.clone(), entry.slots)
-        };
-        if let Err(error) = deployment.start_leaf(&service, slots).await {
+        let plan::Leaf { data_centre, service, slots, .. } = deployment.leafs[leaf].entry.clone();
+        if let Err(error) = deployment.start_leaf_in(&data_centre, &service, slots).await {
             println!("no leaf in its place: {error}");
         }
     }
@@ -256,6 +277,15 @@
     }
 }
 
+/// A leaf that is gone has no entry any more.
+fn set_warming(deployment: &mut Deployment, leaf: usize, is_warming: bool) {
+    let leaf = &mut deployment.leafs[leaf];
+    leaf.entry.warming = is_warming;
+    if !leaf.is_gone {
+        deployment.registry.register(&leaf.entry);
+    }
+}
+
 /// The leafs of the service of a leaf.
 fn service_of(deployment: &Deployment, leaf: usize) -> impl Iterator<Item = &deployment::Leaf> {
     let service = deployment.leafs[leaf].entry.service.clone();
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -155,6 +155,16 @@
         }
     }
 
+    /// What the nodes say of their own promises.
+    pub fn judge_logs(&mut self, deployment: &Deployment) {
+        for node in &deployment.nodes {
+            let text = std::fs::read_to_string(&node.log).unwrap_or_default();
+            for line in text.lines().filter(|line| line.contains("a promise did not hold")) {
+                self.breach("own_word", format!("{}: {line}", node.name));
+            }
+        }
+    }
+
     fn judge_ledger(&mut self, id: &str, ledger: &replica::Ledger) {
         if ledger.unnamed > 0 {
             self.breach("own_request", format!("{id} got {} requests without a name", ledger.unnamed));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -23,7 +23,12 @@
             directory: path::PathBuf::from(text("directory")).join(format!("seed-{seed}")),
             seed,
             span: Duration::from_secs(number("seconds")),
-            size: Size { nodes: number("nodes") as usize, shards: 6, replicas: 2 },
+            size: Size {
+                nodes: number("nodes") as usize,
+                shards: 6,
+                replicas: 2,
+                is_wide: !matches.get_flag("narrow"),
+            },
             clients: number("clients") as usize,
             extra: String::new(),
         };
@@ -67,6 +72,12 @@
                 .default_value("target/soak")
                 .help("Where settings and logs go"),
         )
+        .arg(
+            Arg::new("narrow")
+                .long("narrow")
+                .action(clap::ArgAction::SetTrue)
+                .help("One data centre, without evacuations and warm-ups, as seeds below 30000 were first played"),
+        )
         .arg(number("seeds", "1", "How many seeds"))
         .arg(number("first", "1", "The first seed"))
         .arg(number("seconds", "10", "How long faults are injected in each"))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     client,
-    deployment::{Deployment, Size},
+    deployment::{self, Deployment, Size},
     fault::{Fault, Injector},
     judge,
 };
@@ -128,6 +128,7 @@
     while clients.join_next().await.is_some() {}
     let mut judge = seen.judge();
     judge.judge_ledgers(&deployment);
+    judge.judge_logs(&deployment);
     Ok(Verdict { breaches: judge.breaches().to_vec(), faults, ends: judge.summary() })
 }
 
@@ -173,7 +174,7 @@
     let mut injector = Injector::default();
     let mut faults = Vec::new();
     while seen.now() < begun + plan.span {
-        let fault = Fault::draw(random, plan.size.nodes, deployment.leafs.len());
+        let fault = Fault::draw(random, plan.size.nodes, deployment.leafs.len(), plan.size.is_wide);
         let span = Duration::from_millis(random.random_range(200..2500));
         let pause = Duration::from_millis(random.random_range(50..700));
         if injector.may_begin(fault) {
@@ -224,6 +225,9 @@
 /// After the last fault every node must be ready and serve, by the configuration in force, and no server
 /// that leaves may be asked any longer.
 async fn recover(plan: &Plan, deployment: &Deployment, seen: &Seen) {
+    if plan.size.is_wide {
+        deployment.registry.set_evacuated(deployment::FAR, true);
+    }
     tokio::time::sleep(CALM).await;
     let settled = std::time::Instant::now();
     let in_force = set(deployment);
@@ -252,9 +256,14 @@
             seen.judge().breach("recovers", format!("node {node} serves {served} of {}", SERVED_LEAST * 4));
         }
     }
-    for leaf in deployment.leafs.iter().filter(|leaf| leaf.entry.leaving) {
-        if leaf.replica.ledger().last.is_some_and(|last| last > settled) {
+    for leaf in &deployment.leafs {
+        let is_evacuated = plan.size.is_wide && leaf.entry.data_centre == deployment::FAR;
+        let is_asked = leaf.replica.ledger().last.is_some_and(|last| last > settled);
+        if leaf.entry.leaving && is_asked {
             seen.judge().breach("leaving_servers_rest", &leaf.entry.name);
         }
+        if is_evacuated && is_asked {
+            seen.judge().breach("evacuated_servers_rest", &leaf.entry.name);
+        }
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -17,7 +17,7 @@
 };
 use shallothub_standin::{registry, replica};
 
-const SIZE: Size = Size { nodes: 0, shards: 4, replicas: 2 };
+const SIZE: Size = Size { nodes: 0, shards: 4, replicas: 2, is_wide: false };
 /// Searches in which a changed address must have been used.
 const MOVED_MOST: u32 = 500;
 /// Searches before a fault.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,19 +7,21 @@
 
 /// Some seeds whose first faults are of many kinds, and each seed that once showed a breach.
 #[rstest]
-#[case::leafs_misbehave_and_hosts_die(3)]
-#[case::the_index_is_cut_anew_beside_a_bad_store(5)]
+#[case::leafs_misbehave_and_hosts_die(3, false)]
+#[case::the_index_is_cut_anew_beside_a_bad_store(5, false)]
 // A kill in the first millisecond counted as none, so that the requests it cut seemed cut by nothing.
-#[case::kill_at_once(115)]
-#[case::kill_all_at_once(210)]
+#[case::kill_at_once(115, false)]
+#[case::kill_all_at_once(210, false)]
+// The data centre of every second leaf is evacuated now and then, and leafs warm up.
+#[case::evacuations(30_001, true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_under_faults(#[case] seed: u64) {
+async fn promises_hold_under_faults(#[case] seed: u64, #[case] is_wide: bool) {
     let plan = run::Plan {
         program: env!("CARGO_BIN_EXE_shallothub").into(),
         directory: path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
         seed,
         span: Duration::from_secs(5),
-        size: Size { nodes: 3, shards: 6, replicas: 2 },
+        size: Size { nodes: 3, shards: 6, replicas: 2, is_wide },
         clients: 2,
         extra: String::new(),
     };
