--- a/crates/core/tests/killers.rs
+++ b/crates/core/tests/killers.rs
@@ -336,3 +336,37 @@
     assert!(outputs.iter().any(is_unknown), "{outputs:?}");
     assert!(!outputs.iter().any(|output| matches!(output, event::Output::Dispatch(_))));
 }
+
+/// A host passes a search on, and the host that gathers it fails, since the servers of all shards die of it. That
+/// answer comes from a host, not from a server: it must not speak for the request.
+#[test]
+fn the_failure_of_another_host_clears_nobody() {
+    let policy = policy::Policy::default();
+    let lane = traffic::Lane { index: 0, count: 1 };
+    let mut core = traffic::Core::new(policy, lane, 1, clock::Millis(1));
+    let mut view = view::View::clone(&view(4));
+    let peer = id::Server(view.servers.len() as u32);
+    let leaf = view.servers[0].clone();
+    view.servers.push(leaf.map(|leaf| view::Server { name: "host-1".into(), is_peer: true, ..leaf }));
+    let shard = CompactString::const_new("peer");
+    view.classes[0].relay = Some(view::Target { shard, service: id::Service::PEERS, replicas: vec![peer] });
+    let suspects = [(KILLER, Standing::Suspect)].into_iter().collect();
+    let inputs = [event::Input::View(Arc::new(view)), event::Input::Suspects(Arc::new(suspects))];
+    core.step(clock::Millis(1), inputs);
+    let request = event::Request {
+        caller: id::Caller(1),
+        class: CompactString::const_new("ask"),
+        patience: None,
+        key: None,
+        relayed: None,
+        fingerprint: Some(KILLER),
+    };
+    let outputs = core.step(clock::Millis(2), [event::Input::Request(request)]);
+    let passed_on = outputs.iter().find_map(|output| match output {
+        event::Output::Dispatch(dispatch) => dispatch.relayed.map(|_| dispatch.attempt),
+        _ => None,
+    });
+    let attempt = passed_on.expect("it is passed on");
+    let outputs = core.step(clock::Millis(9), [event::Input::Reply { attempt, reply: event::Reply::Failed }]);
+    assert!(!outputs.iter().any(|output| matches!(output, event::Output::Cleared(_))), "{outputs:?}");
+}
