--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -3,8 +3,8 @@
 //! A request that kills whatever server runs it comes again: its caller repeats it, at any host, and each time one
 //! or two more servers die. So hosts remember which requests were lost with a server that died, under a
 //! [`Fingerprint`] of what was asked, and tell each other. A request that was lost with several servers over several
-//! attempts of its caller, two of them after it was suspected, and that no server ever answered, is *convicted*: it is refused at once, until the
-//! conviction ends and one host tries it again.
+//! attempts of its caller, two of them after it was suspected, and that no server ever answered, is *convicted*: it is
+//! refused at once, until the conviction ends and one host tries it again.
 //!
 //! Innocent requests run on a server that another request kills, or that loses its machine. They are lost once or
 //! twice, and then some server answers them; that speaks for a request, on all hosts, for as long as it is
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -6,8 +6,9 @@
 //! traffic thread and shares nothing with another.
 //!
 //! The systems stand in modules of their own: [`admit`] (limits and refusals), [`choose`] (which
-//! replica), [`dispatch`] (sending, queues at servers, retries), [`warm_up`] (servers that have just started), [`hedge`] (silence) and [`gather`]
-//! (snapshots, coverage, answers).
+//! replica), [`dispatch`] (sending, queues at servers, retries), [`warm_up`] (servers that have just
+//! started), [`suspect`] (requests that crash servers), [`hedge`] (silence) and [`gather`] (snapshots,
+//! coverage, answers).
 
 mod admit;
 mod choose;
