Serve from elsewhere what has a home without hosts

Cause: only hosts at home were candidates to gather, and connections to leafs are shared among candidates, so a route whose home has leafs and no entry host was refused by every host. Found by the first process test over two regions. Change: where no host is at home, each gathers for its own callers, with an equal share of connections. Measured: homes.rs, a_home_without_hosts_is_served_from_elsewhere, red before (0 of 6 shards asked) and green after; tests/platform.rs, searches_with_homes_stay_there, red before and green after.

--- a/crates/core/src/plan/relay.rs
+++ b/crates/core/src/plan/relay.rs
@@ -72,11 +72,22 @@
                 places.push(place);
             }
         }
+        if candidates.is_empty() {
+            return Self::alone(1 + relays.len(), gather.connections);
+        }
         let centres = centres(gather.services, leafs, is_home);
         let tiers = owner::Tiers::new(gather.set, &centres, &candidates, gather.connections);
         Self { tiers, places, connections: gather.connections }
     }
 
+    /// No host is where the gather may be done for others, so each of `hosts` does it for its own callers. Servers
+    /// that accept fewer connections than there are hosts turn some away.
+    fn alone(hosts: usize, connections: u32) -> Self {
+        let places: Vec<usize> = (0..hosts).collect();
+        let tiers = owner::Tiers { owners: places.clone(), seconds: Vec::new() };
+        Self { tiers, places, connections: connections.max(hosts as u32) }
+    }
+
     /// This host's place among the candidates, if it is one.
     fn this(&self) -> Option<usize> {
         self.places.first().filter(|&&place| place == THIS).map(|_| 0)
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -98,7 +98,11 @@
 
 /// The view of the host at `place`.
 fn view(place: usize, homes: &[&str], dark: &str, revision: u64) -> view::View {
-    let mut relays = hosts();
+    view_among(hosts(), place, homes, dark, revision)
+}
+
+/// The same where these are all hosts.
+fn view_among(mut relays: Vec<plan::Relay>, place: usize, homes: &[&str], dark: &str, revision: u64) -> view::View {
     let this = relays.remove(place);
     let (regions, parts) = (regions(), parts(homes, dark));
     let fleet = plan::Fleet {
@@ -154,6 +158,21 @@
     assert!(view.parts.values().all(|part| *part == 0.0), "{:?}", view.parts);
 }
 
+/// No host stands in the only home, but leafs do. The host that a caller reached asks them itself, and hands the body
+/// to no other host; else what has such a home would be served nowhere.
+#[test]
+fn a_home_without_hosts_is_served_from_elsewhere() {
+    let hosts: Vec<plan::Relay> = hosts().into_iter().filter(|host| !host.name.contains("south")).collect();
+    for place in 0..hosts.len() {
+        let view = view_among(hosts.clone(), place, &["south"], "", 1);
+        assert!(view.classes["sweep"].relay.is_none());
+        let mut core = core(view);
+        let sent = dispatched(&ask(&mut core, 10, "sweep"));
+        assert_eq!(sent.len(), SHARDS, "the host at {place}");
+        assert!(sent.iter().all(|dispatch| dispatch.name.contains("south") && dispatch.relayed.is_none()));
+    }
+}
+
 fn core(view: view::View) -> traffic::Core {
     let lane = traffic::Lane { index: 0, count: 1 };
     let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
--- a/tests/capacity_page.rs
+++ b/tests/capacity_page.rs
@@ -120,3 +120,34 @@
         assert_eq!(rows[name].last(), Some(&value.as_str()), "{name}");
     }
 }
+
+/// The users' bench plays one day at three sizes; the page shows what it measured, how that grows, and where it leads.
+#[test]
+fn the_sweeps_on_the_page_are_those_of_the_data() {
+    let page = read("docs/CAPACITY.md");
+    let rows = rows(&page);
+    let text = read("docs/data/sweep.csv");
+    let mut figures: BTreeMap<String, BTreeMap<u32, (String, String)>> = BTreeMap::new();
+    for line in text.lines().skip(1) {
+        let [deployment, figure, hosts, middle, most] = line.split(',').collect::<Vec<_>>()[..] else {
+            panic!("{line}");
+        };
+        let row = figures.entry(format!("{deployment} {figure}")).or_default();
+        row.insert(hosts.parse().expect("hosts"), (middle.to_owned(), most.to_owned()));
+    }
+    assert!(figures.len() >= 10);
+    for (name, points) in &figures {
+        let mut expected: Vec<String> = points.values().map(|(middle, most)| format!("{middle} / {most}")).collect();
+        let most = |hosts: u32| points[&hosts].1.parse::<f64>().expect("a number");
+        let (first, last) = (most(30), most(300));
+        if first > 0.0 && last > 0.0 {
+            let power = (last / first).log10();
+            expected.push(format!("{power:.2}"));
+            expected.push(format!("{:.0}", last * 26_f64.powf(power)));
+        } else {
+            expected.extend(["-".to_owned(), "-".to_owned()]);
+        }
+        let shown: Vec<String> = rows[name.as_str()].iter().map(|cell| (*cell).to_owned()).collect();
+        assert_eq!(shown, expected, "{name}");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -220,7 +220,8 @@
     for round in 0..MOVED_MOST {
         let before = runs_in(deployment, data_centre);
         let name = format!("e{node}-{is_used}-{before}-{round}");
-        assert_eq!(served(&client.ask(Kind::Gather, &name).await), 4);
+        let end = client.ask(Kind::Gather, &name).await;
+        assert_eq!(served(&end), 4, "{name}: {end:?}");
         if runs_in(deployment, data_centre) > before {
             if is_used {
                 return true;
@@ -322,6 +323,48 @@
     panic!("only {whole} searches are whole");
 }
 
+/// Operators give the search homes, first one region and then the other. Leafs elsewhere get nothing once a node knows
+/// it, whole answers go on, and a region that has no leaf is a refusal at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn searches_with_homes_stay_there() {
+    let directory = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("homes");
+    let program = path::Path::new(env!("CARGO_BIN_EXE_shallothub"));
+    let size = Size { is_wide: true, ..SIZE };
+    let mut deployment = Deployment::start(program, &directory, size).await.expect("stand-ins");
+    deployment.extra = format!("regions: {{here: east, {}: west}}\n", deployment::FAR);
+    for _ in 0..2 {
+        let node = deployment.start_node().expect("a node");
+        assert!(deployment.wait_ready(node).await);
+    }
+    for (home, elsewhere) in [("east", deployment::FAR), ("west", "here")] {
+        for route in &mut deployment.routing.routes {
+            route.homes = vec![home.into()];
+        }
+        deployment.routing.number += 1;
+        deployment.registry.configure(&deployment.routing);
+        for node in 0..2 {
+            assert!(ask_until(&deployment, node, elsewhere, false, SETTLE).await, "node {node} leaves {home}");
+        }
+    }
+    for route in &mut deployment.routing.routes {
+        route.homes = vec!["north".into()];
+    }
+    deployment.routing.number += 1;
+    deployment.registry.configure(&deployment.routing);
+    for node in 0..2 {
+        let mut client = client(&deployment, node);
+        let mut told = End::Silence;
+        for round in 0..MOVED_MOST {
+            told = client.ask(Kind::Gather, &format!("n{node}-{round}")).await;
+            if told == End::Told(503) {
+                break;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        assert_eq!(told, End::Told(503), "node {node} serves a search that is at home nowhere");
+    }
+}
+
 /// A caller repeats a request that kills whatever leaf runs it, at six nodes in turn. Leafs that died are replaced.
 /// Before nodes told each other of such requests each attempt of the caller took two leafs, without end; now a few
 /// die, the caller is told that it is not run, and everybody else is served.
