--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -5,7 +5,10 @@
 
 use crate::{catalog, clock};
 
-use super::{COMPILE_PAUSE, Core, JOINED_PAUSE, Output, Source, Standing, member, message, note, start};
+use super::{
+    Core, Output, Source, Standing, member, message, note, start,
+    views::{COMPILE_PAUSE, JOINED_PAUSE},
+};
 
 /// Time after which a digest counts as not answered, in ms. An answer takes some milliseconds; a host with a
 /// tenth of a core that does much else takes a hundred.
--- /dev/null
+++ b/crates/core/src/control/views.rs
@@ -0,0 +1,136 @@
+//! From catalogs and members to the view in force, and to who watches.
+
+use std::sync::Arc;
+
+use crate::{catalog, clock, mutant, plan, rendezvous, view};
+
+use super::{Core, Output, Source, Standing, note};
+
+/// Hosts of a data centre that ask a registry in turn when it does not answer those before them in rank.
+const STAND_INS: usize = 3;
+
+/// Least time between two views of which the second differs by members alone, in ms. A view of 270 servers
+/// takes a host of an eighth of a core some 10 ms.
+pub(super) const COMPILE_PAUSE: clock::Millis = clock::Millis(100);
+/// The same if members have only joined. Requests need not go to them at once; what must not take long is that
+/// they stop going to one that leaves or is silent.
+pub(super) const JOINED_PAUSE: clock::Millis = clock::Millis(500);
+
+impl Core {
+    /// Puts in force what members changed, a little later: when many hosts start, each digest brings news.
+    pub(super) fn compile_members(&mut self) {
+        if self.compile_at.is_some_and(|at| at <= self.now) {
+            self.compile();
+        }
+    }
+
+    /// Members have changed: a view is compiled `pause` after the last one at the earliest.
+    pub(super) fn compile_after(&mut self, pause: clock::Millis) {
+        let at = self.compiled_at + pause;
+        self.compile_at = Some(self.compile_at.map_or(at, |held| held.min(at)));
+    }
+
+    pub(super) fn compile(&mut self) {
+        self.compile_at = None;
+        self.compiled_at = self.now;
+        if self.shelves.iter().any(|shelf| shelf.stamp.version == 0) {
+            return;
+        }
+        if mutant::is(mutant::Mutant::ForgetLeaving) {
+            self.servers.forget_marks();
+        }
+        let stamps = [self.shelves[0].stamp, self.shelves[1].stamp];
+        let parts = self.shelves.iter().flat_map(|shelf| shelf.parsed.values()).map(|part| &**part);
+        let held = self.registry.held.leafs();
+        let reborn = self.lives.reborn();
+        let members = match self.reader.source {
+            Source::Documents => 0,
+            Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
+        };
+        let relays = self.members.relays();
+        let this = plan::Relay {
+            name: self.identity.name.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            address: self.identity.relay.clone(),
+            power: self.identity.power,
+            is_open: true,
+        };
+        let is_settled = self.standing == Standing::Settled;
+        let tolerance = view::Tolerance { overage: self.policy.warm_up_overage, slack: self.policy.warm_up_slack };
+        let fleet = plan::Fleet {
+            this: Some(&this),
+            members,
+            is_settled,
+            relays: &relays,
+            held: &held,
+            reborn: &reborn,
+            tolerance,
+            regions: Some(&self.identity.regions),
+        };
+        let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
+        self.note_evacuations(&view);
+        self.view = Some(Arc::clone(&view));
+        self.refresh_peers();
+        self.outputs.push(Output::View(view));
+    }
+
+    /// Logs which data centres are evacuated when that changes.
+    pub(super) fn note_evacuations(&mut self, view: &view::View) {
+        let is_same = match &self.view {
+            Some(before) => before.evacuated == view.evacuated,
+            None => view.evacuated.is_empty(),
+        };
+        if is_same {
+            return;
+        }
+        self.stats.evacuations += 1;
+        let servers = view.servers.iter().flatten().filter(|server| server.evacuated).count();
+        let data_centres = view.evacuated.iter().cloned().collect();
+        self.outputs.push(Output::Note(note::Note::Evacuated { data_centres, servers, stamp: view.hosts_revision }));
+    }
+
+    /// Reads the entry hosts out of the list in force.
+    pub(super) fn refresh_peers(&mut self) {
+        self.peers.clear();
+        self.ranked.clear();
+        if matches!(self.reader.source, Source::Registry { .. }) {
+            self.refresh_from_members();
+            return;
+        }
+        for part in self.shelves[catalog::Kind::Hosts.index()].parsed.values() {
+            let plan::Part::Hosts { entry_hosts, .. } = &**part else {
+                continue;
+            };
+            for host in entry_hosts {
+                if host.state == plan::State::Live && host.data_centre == self.identity.data_centre {
+                    self.ranked.push(host.name.clone());
+                }
+                if host.name != self.identity.name {
+                    self.peers.insert(host.peer.clone(), host.clone());
+                }
+            }
+        }
+        rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
+    }
+
+    /// The same where hosts are known only from each other.
+    pub(super) fn refresh_from_members(&mut self) {
+        self.ranked.push(self.identity.name.clone());
+        for host in self.members.hosts() {
+            if host.state == plan::State::Live && host.data_centre == self.identity.data_centre {
+                self.ranked.push(host.name.clone());
+            }
+            self.peers.insert(host.peer.clone(), host);
+        }
+        rendezvous::rank(&self.identity.data_centre, &mut self.ranked);
+        let most = self.policy.watchers as usize;
+        let away = self.members.away();
+        let place = self.ranked.iter().position(|name| *name == self.identity.name).unwrap_or_default();
+        let served = self.ranked[..place].iter().filter(|name| !away.contains(*name)).count();
+        self.is_stand_in = (most..most + STAND_INS).contains(&place) && served < most;
+        let watchers = &self.ranked[..self.ranked.len().min(most)];
+        let is_watcher = |host: &plan::EntryHost| watchers.contains(&host.name);
+        self.watcher_peers =
+            self.peers.iter().filter(|(_, host)| is_watcher(host)).map(|(address, _)| address.clone()).collect();
+    }
+}
