--- a/crates/core/tests/closing.rs
+++ b/crates/core/tests/closing.rs
@@ -3,7 +3,6 @@
 #[expect(unreachable_pub, reason = "a module of this test alone")]
 mod one_leaf;
 
-use compact_str::CompactString;
 use rstest::rstest;
 use shallothub_core::{
     clock, id,
@@ -15,15 +14,7 @@
 }
 
 fn request(caller: u64) -> event::Input {
-    let class = CompactString::const_new("ask");
-    event::Input::Request(event::Request {
-        caller: id::Caller(caller),
-        class,
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: None,
-    })
+    event::Input::Request(one_leaf::request(caller))
 }
 
 /// A guest hangs up, the attempt's connection is closed, and the next guest's attempt opens another
--- a/crates/core/tests/evacuated.rs
+++ b/crates/core/tests/evacuated.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use rstest::rstest;
 use shallothub_core::{
     clock, id, ratio,
@@ -54,14 +54,7 @@
 }
 
 fn request(caller: u64) -> event::Input {
-    event::Input::Request(event::Request {
-        caller: id::Caller(caller),
-        class: CompactString::const_new("ask"),
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: None,
-    })
+    event::Input::Request(one_leaf::request(caller))
 }
 
 fn dispatched(outputs: &[event::Output]) -> Vec<event::Dispatch> {
--- a/crates/core/tests/killers.rs
+++ b/crates/core/tests/killers.rs
@@ -113,14 +113,7 @@
     fn ask(&mut self, fingerprint: Fingerprint) {
         self.callers += 1;
         self.asked.insert(self.callers, fingerprint);
-        let request = event::Request {
-            caller: id::Caller(self.callers),
-            class: CompactString::const_new("ask"),
-            patience: None,
-            key: None,
-            relayed: None,
-            fingerprint: Some(fingerprint),
-        };
+        let request = event::Request { fingerprint: Some(fingerprint), ..one_leaf::request(self.callers) };
         let host = self.random.random_range(0..HOSTS);
         self.step(host, event::Input::Request(request));
     }
@@ -313,14 +306,7 @@
     let mut town = Town::new(1, 1);
     let suspects = [(KILLER, Standing::Suspect)].into_iter().collect();
     town.hosts[0].step(clock::Millis(2), [event::Input::Suspects(Arc::new(suspects))]);
-    let request = event::Request {
-        caller: id::Caller(1),
-        class: CompactString::const_new("ask"),
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: Some(KILLER),
-    };
+    let request = event::Request { fingerprint: Some(KILLER), ..one_leaf::request(1) };
     let outputs = town.hosts[0].step(clock::Millis(3), [event::Input::Request(request)]);
     let sent: Vec<_> = outputs
         .iter()
@@ -353,14 +339,7 @@
     let suspects = [(KILLER, Standing::Suspect)].into_iter().collect();
     let inputs = [event::Input::View(Arc::new(view)), event::Input::Suspects(Arc::new(suspects))];
     core.step(clock::Millis(1), inputs);
-    let request = event::Request {
-        caller: id::Caller(1),
-        class: CompactString::const_new("ask"),
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: Some(KILLER),
-    };
+    let request = event::Request { fingerprint: Some(KILLER), ..one_leaf::request(1) };
     let outputs = core.step(clock::Millis(2), [event::Input::Request(request)]);
     let passed_on = outputs.iter().find_map(|output| match output {
         event::Output::Dispatch(dispatch) => dispatch.relayed.map(|_| dispatch.attempt),
--- a/crates/core/tests/one_leaf/mod.rs
+++ b/crates/core/tests/one_leaf/mod.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
-use shallothub_core::{clock, id, ratio, view};
+use shallothub_core::{clock, id, ratio, traffic::event, view};
 
 /// Deadline of the selector.
 pub const DEADLINE: clock::Millis = clock::Millis(250);
@@ -62,3 +62,15 @@
         ..view::View::default()
     })
 }
+
+/// A request of `caller` for what the selector reaches.
+pub fn request(caller: u64) -> event::Request {
+    event::Request {
+        caller: id::Caller(caller),
+        class: CompactString::const_new("ask"),
+        patience: None,
+        key: None,
+        relayed: None,
+        fingerprint: None,
+    }
+}
--- a/crates/core/tests/partial.rs
+++ b/crates/core/tests/partial.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use rstest::rstest;
 use shallothub_core::{
     clock, id, ratio,
@@ -37,14 +37,7 @@
 }
 
 fn ask(core: &mut traffic::Core, now: clock::Millis) -> Vec<event::Output> {
-    let request = event::Request {
-        caller: id::Caller(1),
-        class: CompactString::const_new("ask"),
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: None,
-    };
+    let request = one_leaf::request(1);
     core.step(now, [event::Input::Request(request)])
 }
 
--- a/crates/core/tests/reborn.rs
+++ b/crates/core/tests/reborn.rs
@@ -5,10 +5,9 @@
 
 use std::sync::Arc;
 
-use compact_str::CompactString;
 use rstest::rstest;
 use shallothub_core::{
-    clock, id,
+    clock,
     traffic::{self, event, policy},
     view,
 };
@@ -38,15 +37,7 @@
 }
 
 fn request(caller: u64) -> event::Input {
-    let class = CompactString::const_new("ask");
-    event::Input::Request(event::Request {
-        caller: id::Caller(caller),
-        class,
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: None,
-    })
+    event::Input::Request(one_leaf::request(caller))
 }
 
 fn dispatched(outputs: &[event::Output]) -> Vec<&event::Dispatch> {
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -8,22 +8,14 @@
 
 use compact_str::CompactString;
 use shallothub_core::{
-    clock, id, ratio,
+    clock, ratio,
     traffic::{self, event, note, policy},
     view,
 };
 
 /// One request at `now`; leafs answer at once, or never. The outcomes of whatever ended.
 fn ask(core: &mut traffic::Core, now: clock::Millis, caller: u64, is_up: bool) -> Vec<event::Outcome> {
-    let class = CompactString::const_new("ask");
-    let request = event::Request {
-        caller: id::Caller(caller),
-        class,
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: None,
-    };
+    let request = one_leaf::request(caller);
     let mut outputs = core.step(now, [event::Input::Request(request)]);
     let mut ended = Vec::new();
     while let Some(output) = outputs.pop() {
@@ -77,9 +69,7 @@
     let lane = traffic::Lane { index: 0, count: 1 };
     let mut core = traffic::Core::new(policy::Policy::default(), lane, 1, clock::Millis(1));
     core.step(clock::Millis(1), [event::Input::View(one_leaf::view(8))]);
-    let class = CompactString::const_new("ask");
-    let request =
-        event::Request { caller: id::Caller(1), class, patience: None, key: None, relayed: None, fingerprint: None };
+    let request = one_leaf::request(1);
     let outputs = core.step(clock::Millis(2), [event::Input::Request(request)]);
     let attempt = outputs.iter().find_map(|output| match output {
         event::Output::Dispatch(dispatch) => Some(dispatch.attempt),
@@ -108,9 +98,7 @@
     let mut codes = Vec::new();
     for caller in 1..=3 {
         let key = Some(compact_str::format_compact!("letter-{caller}"));
-        let class = CompactString::const_new("ask");
-        let request =
-            event::Request { caller: id::Caller(caller), class, patience: None, key, relayed: None, fingerprint: None };
+        let request = event::Request { key, ..one_leaf::request(caller) };
         for output in core.step(clock::Millis(2), [event::Input::Request(request)]) {
             if let event::Output::Answer(answer) = output {
                 codes.push((answer.caller.0, answer.outcome, answer.code, answer.retry_after.is_some()));
@@ -133,9 +121,7 @@
     core.step(clock::Millis(2), [event::Input::Tick]);
     let mut send = |now: u64, caller: u64, confirmed: bool| {
         let key = Some(compact_str::format_compact!("letter-{caller}"));
-        let class = CompactString::const_new("ask");
-        let request =
-            event::Request { caller: id::Caller(caller), class, patience: None, key, relayed: None, fingerprint: None };
+        let request = event::Request { key, ..one_leaf::request(caller) };
         let mut inputs = vec![event::Input::Request(request)];
         if confirmed {
             inputs.insert(0, event::Input::Revalidated);
@@ -177,15 +163,7 @@
     let mut now = clock::Millis(2);
     for caller in 1..2000 {
         now = now + clock::Millis(10);
-        let class = CompactString::const_new("ask");
-        let request = event::Request {
-            caller: id::Caller(caller),
-            class,
-            patience: None,
-            key: None,
-            relayed: None,
-            fingerprint: None,
-        };
+        let request = one_leaf::request(caller);
         let mut outputs = core.step(now, [event::Input::Request(request)]);
         while let Some(output) = outputs.pop() {
             match output {
@@ -214,15 +192,7 @@
     let mut notes = Vec::new();
     for round in 1..2000_u64 {
         let now = clock::Millis(round * 10);
-        let class = CompactString::const_new("ask");
-        let request = event::Request {
-            caller: id::Caller(round),
-            class,
-            patience: None,
-            key: None,
-            relayed: None,
-            fingerprint: None,
-        };
+        let request = one_leaf::request(round);
         let mut outputs = core.step(now, [event::Input::Request(request)]);
         while let Some(output) = outputs.pop() {
             match output {
--- a/crates/core/tests/warm_up.rs
+++ b/crates/core/tests/warm_up.rs
@@ -72,14 +72,7 @@
 }
 
 fn request(caller: u64) -> event::Input {
-    event::Input::Request(event::Request {
-        caller: id::Caller(caller),
-        class: CompactString::const_new("ask"),
-        patience: None,
-        key: None,
-        relayed: None,
-        fingerprint: None,
-    })
+    event::Input::Request(one_leaf::request(caller))
 }
 
 /// What a host hears.
--- a/tests/platform.rs
+++ b/tests/platform/main.rs
@@ -9,7 +9,6 @@
 
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use shallothub_core::{clock, plan};
 use shallothub_platform::opposite;
 use shallothub_soak::{
     client::{self, Client, End, Kind},
@@ -17,6 +16,8 @@
 };
 use shallothub_standin::{registry, replica};
 
+mod operators;
+
 const SIZE: Size = Size { nodes: 0, shards: 4, replicas: 2, is_wide: false };
 /// Searches in which a changed address must have been used.
 const MOVED_MOST: u32 = 500;
@@ -207,211 +208,6 @@
     assert_eq!(served(&client(&deployment, node).ask(Kind::Gather, "g").await), 4);
 }
 
-/// Searches that have run at leafs of `data_centre`.
-fn runs_in(deployment: &Deployment, data_centre: &str) -> u32 {
-    let leafs = deployment.leafs.iter().filter(|leaf| leaf.entry.data_centre == data_centre);
-    leafs.map(|leaf| leaf.replica.ledger().runs.values().sum::<u32>()).sum()
-}
-
-/// Asks for searches until `most` of them in a row have run nothing in `data_centre`, or anything if it `is_used`.
-async fn ask_until(deployment: &Deployment, node: usize, data_centre: &str, is_used: bool, most: u32) -> bool {
-    let mut client = client(deployment, node);
-    let mut quiet = 0;
-    for round in 0..MOVED_MOST {
-        let before = runs_in(deployment, data_centre);
-        let name = format!("e{node}-{is_used}-{before}-{round}");
-        let end = client.ask(Kind::Gather, &name).await;
-        assert_eq!(served(&end), 4, "{name}: {end:?}");
-        if runs_in(deployment, data_centre) > before {
-            if is_used {
-                return true;
-            }
-            quiet = 0;
-            continue;
-        }
-        quiet += 1;
-        if !is_used && quiet == most {
-            return true;
-        }
-    }
-    false
-}
-
-/// Operators evacuate the nodes' own data centre, where half of the leafs are, while searches run. Nothing runs there any more, a node
-/// that starts then sends nothing there either, not even first, and callers get whole answers all along. When the
-/// word is taken back the leafs are used again.
-#[tokio::test(flavor = "multi_thread")]
-async fn an_evacuated_data_centre_gets_no_searches() {
-    let mut deployment = started("evacuated", 2).await;
-    for leaf in deployment.leafs.iter_mut().skip(1).step_by(2) {
-        leaf.entry.data_centre = "there".into();
-        deployment.registry.register(&leaf.entry);
-    }
-    for node in 0..2 {
-        assert!(ask_until(&deployment, node, "here", true, 1).await, "node {node} does not use the data centre");
-    }
-    deployment.registry.set_evacuated("here", true);
-    for node in 0..2 {
-        assert!(ask_until(&deployment, node, "here", false, SETTLE).await, "node {node} still uses the data centre");
-    }
-    let before = runs_in(&deployment, "here");
-    let node = deployment.start_node().expect("a node");
-    assert!(deployment.wait_ready(node).await);
-    assert!(ask_until(&deployment, node, "here", false, SETTLE).await);
-    assert_eq!(runs_in(&deployment, "here"), before, "a node that started used the data centre");
-    deployment.registry.set_evacuated("here", false);
-    for node in 0..3 {
-        assert!(ask_until(&deployment, node, "here", true, 1).await, "node {node} does not use it again");
-    }
-}
-
-/// All leafs of the shards say that they warm up, and bear few requests a second until then. Three nodes get searches
-/// as fast as they answer; the leafs get no more than they bear, whatever the nodes do with the rest. Once they are
-/// warm, searches are whole again.
-#[tokio::test(flavor = "multi_thread")]
-async fn leafs_that_warm_up_get_no_more_than_they_bear() {
-    const RATE: f64 = 6.0;
-    let mut deployment = started("warm-up", 3).await;
-    let set_warming = |deployment: &mut Deployment, is_warming: bool| {
-        for leaf in deployment.leafs.iter_mut().filter(|leaf| leaf.entry.service != "letters") {
-            leaf.entry.warming = is_warming;
-            deployment.registry.register(&leaf.entry);
-        }
-    };
-    for service in &mut deployment.routing.services {
-        service.warm_up = Some(plan::WarmUp { span: clock::Millis(3000), rate: RATE });
-    }
-    deployment.routing.number += 1;
-    deployment.registry.configure(&deployment.routing);
-    set_warming(&mut deployment, true);
-    // Until a node has the news, it sends as before.
-    for node in 0..3 {
-        let mut client = client(&deployment, node);
-        let mut refused = 0;
-        for round in 0..MOVED_MOST {
-            refused += u32::from(served(&client.ask(Kind::Gather, &format!("n{node}-{round}")).await) == 0);
-            if refused >= SETTLE {
-                break;
-            }
-        }
-        assert!(refused >= SETTLE, "node {node} sends as before");
-    }
-    let count = |deployment: &Deployment| -> Vec<u32> {
-        deployment.leafs.iter().map(|leaf| leaf.replica.ledger().runs.values().sum()).collect()
-    };
-    let (before, since) = (count(&deployment), std::time::Instant::now());
-    let mut clients: Vec<Client> = (0..3).map(|node| client(&deployment, node)).collect();
-    for round in 0..300 {
-        clients[round % 3].ask(Kind::Gather, &format!("c-{round}")).await;
-    }
-    let borne = (RATE * (since.elapsed().as_secs_f64() + 1.0)).ceil() as u32;
-    for (before, after) in before.iter().zip(count(&deployment)) {
-        assert!(after - before <= borne, "{} runs where {borne} are borne", after - before);
-    }
-    set_warming(&mut deployment, false);
-    let mut whole = 0;
-    for round in 0..MOVED_MOST {
-        if served(&clients[round as usize % 3].ask(Kind::Gather, &format!("w-{round}")).await) < 4 {
-            tokio::time::sleep(LOOK).await;
-            continue;
-        }
-        whole += 1;
-        if whole == SETTLE {
-            return;
-        }
-    }
-    panic!("only {whole} searches are whole");
-}
-
-/// Operators give the search homes, first one region and then the other. Leafs elsewhere get nothing once a node knows
-/// it, whole answers go on, and a region that has no leaf is a refusal at once.
-#[tokio::test(flavor = "multi_thread")]
-async fn searches_with_homes_stay_there() {
-    let directory = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("homes");
-    let program = path::Path::new(env!("CARGO_BIN_EXE_shallothub"));
-    let size = Size { is_wide: true, ..SIZE };
-    let mut deployment = Deployment::start(program, &directory, size).await.expect("stand-ins");
-    deployment.extra = format!("regions: {{here: east, {}: west}}\n", deployment::FAR);
-    for _ in 0..2 {
-        let node = deployment.start_node().expect("a node");
-        assert!(deployment.wait_ready(node).await);
-    }
-    for (home, elsewhere) in [("east", deployment::FAR), ("west", "here")] {
-        for route in &mut deployment.routing.routes {
-            route.homes = vec![home.into()];
-        }
-        deployment.routing.number += 1;
-        deployment.registry.configure(&deployment.routing);
-        for node in 0..2 {
-            assert!(ask_until(&deployment, node, elsewhere, false, SETTLE).await, "node {node} leaves {home}");
-        }
-    }
-    for route in &mut deployment.routing.routes {
-        route.homes = vec!["north".into()];
-    }
-    deployment.routing.number += 1;
-    deployment.registry.configure(&deployment.routing);
-    for node in 0..2 {
-        let mut client = client(&deployment, node);
-        let mut told = End::Silence;
-        for round in 0..MOVED_MOST {
-            told = client.ask(Kind::Gather, &format!("n{node}-{round}")).await;
-            if told == End::Told(503) {
-                break;
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-        assert_eq!(told, End::Told(503), "node {node} serves a search that is at home nowhere");
-    }
-}
-
-/// A caller repeats a request that kills whatever leaf runs it, at six nodes in turn. Leafs that died are replaced.
-/// Before nodes told each other of such requests each attempt of the caller took two leafs, without end; now a few
-/// die, the caller is told that it is not run, and everybody else is served.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_request_that_kills_leafs_is_refused_by_all_nodes() {
-    const KILLER: &str = "killer";
-    const ATTEMPTS: u32 = 120;
-    let mut deployment = started("killer", 6).await;
-    let set = |leaf: &deployment::Leaf| leaf.replica.set(|knobs| knobs.dies_of = Some(KILLER));
-    let without_proxy = |deployment: &mut Deployment| {
-        for leaf in &mut deployment.leafs {
-            leaf.entry.address = compact_str::format_compact!("{}", leaf.address);
-            deployment.registry.register(&leaf.entry);
-            set(leaf);
-        }
-    };
-    for _ in 0..5 {
-        deployment.start_leaf("letters", 4).await.expect("a leaf");
-    }
-    without_proxy(&mut deployment);
-    let mut dead = 0;
-    let mut refused = 0;
-    for attempt in 0..ATTEMPTS {
-        let node = attempt as usize % 6;
-        let other = client(&deployment, node).ask(Kind::Read, &format!("other-{attempt}")).await;
-        assert!(matches!(other, End::Served { .. } | End::Told(502..=504)), "{other:?}");
-        let target = format!("GET /read/{KILLER}");
-        let text = head(&target, &format!("{KILLER}-{attempt}")) + "\r\n";
-        refused += u32::from(raw(deployment.nodes[node].listen, &text).await == 503);
-        let gone: Vec<usize> =
-            (0..deployment.leafs.len()).filter(|&leaf| deployment.leafs[leaf].replica.ledger().died).collect();
-        for leaf in gone.into_iter().rev() {
-            let leaf = deployment.leafs.remove(leaf);
-            deployment.registry.unregister(&leaf.entry);
-            deployment.start_leaf(&leaf.entry.service, leaf.entry.slots).await.expect("a leaf");
-            dead += 1;
-        }
-        without_proxy(&mut deployment);
-        tokio::time::sleep(LOOK * 2).await;
-    }
-    println!("{dead} leafs died of {ATTEMPTS} attempts, {refused} were refused");
-    // Without the refusal it would be two for each attempt. How many die first depends on how soon nodes meet the dead.
-    assert!(dead <= ATTEMPTS / 2, "{dead} leafs died");
-    assert!(refused * 3 >= ATTEMPTS, "{refused} attempts were refused");
-    assert_eq!(served(&client(&deployment, 0).ask(Kind::Gather, "after").await), 4);
-}
-
 /// Without a configuration nobody can say that there is no such page: 503, and then 404.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_route_is_said_only_when_routes_are_known() {
