Add metrics for list entries, servers in the view and replaced servers

Hosts refused requests for a route because no server of its service was open to them, and the metrics did not distinguish a service without servers from one whose servers are listed but not used.

`shallothub_control` gets `entries` (entries in the list of hosts in force), `servers` (servers in the view) and `servers_held` (of these, the ones that are missing from the list of hosts). `shallothub_lane` gets `replaced` (servers that get no new work because another server was found at their address). No decision changes.

--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -163,4 +163,10 @@
     pub convicted: u64,
     /// Times that other data centres than before were evacuated.
     pub evacuations: u64,
+    /// Entries in the list of hosts in force, now.
+    pub entries: u64,
+    /// Servers in the view except entry hosts, now.
+    pub servers: u64,
+    /// Of these, the ones that are missing from the list of hosts and held.
+    pub servers_held: u64,
 }
--- a/crates/core/src/control/views.rs
+++ b/crates/core/src/control/views.rs
@@ -69,6 +69,9 @@
         };
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.note_evacuations(&view);
+        self.stats.entries = self.shelves[catalog::Kind::Hosts.index()].current.manifest.parts.len() as u64;
+        self.stats.servers = view.servers.iter().flatten().filter(|server| !server.is_peer).count() as u64;
+        self.stats.servers_held = held.len() as u64;
         self.view = Some(Arc::clone(&view));
         self.refresh_peers();
         self.outputs.push(Output::View(view));
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -162,10 +162,17 @@
             keys: self.keys.len(),
             timers: self.timers.len(),
             ejected: self.ejected,
+            replaced: self.count_replaced(),
             ..self.stats
         }
     }
 
+    /// Number of servers in the view that get no new work because another server was found at their address.
+    fn count_replaced(&self) -> usize {
+        let in_view = self.servers.iter().zip(&self.view.servers).filter(|(_, published)| published.is_some());
+        in_view.filter(|(server, _)| server.is_replaced).count()
+    }
+
     /// Whether `query` has no answer yet.
     pub fn is_live(&self, query: id::Query) -> bool {
         self.queries.get(query.0).is_some()
--- a/crates/core/src/traffic/summary.rs
+++ b/crates/core/src/traffic/summary.rs
@@ -26,6 +26,8 @@
     pub timers: usize,
     /// Servers left out, now.
     pub ejected: usize,
+    /// Servers in the view that get no new work because another server was found at their address, now.
+    pub replaced: usize,
     /// First attempts.
     pub first: u64,
     /// Hedges.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -133,6 +133,7 @@
             ("keys", stats.keys as i64),
             ("timers", stats.timers as i64),
             ("ejected", stats.ejected as i64),
+            ("replaced", stats.replaced as i64),
             ("first_attempts", stats.first as i64),
             ("hedges", stats.hedges as i64),
             ("retries", stats.retries as i64),
@@ -165,6 +166,9 @@
             ("suspects", stats.suspects),
             ("held", stats.held),
             ("convicted", stats.convicted),
+            ("entries", stats.entries),
+            ("servers", stats.servers),
+            ("servers_held", stats.servers_held),
         ];
         for (name, value) in rows {
             self.control.with_label_values(&[name]).set(value as i64);
