Key parsed catalog parts by document key and digest

Cause: parsed parts were cached by the digest of their text alone, but the result of parsing also depends on the key: the key of an entry is the server's name. A server that restarts at the same address writes, under a new key, the same text as its previous entry. When hosts observed the removal of the previous entry and the addition of the new one in one step (after a registry outage, a full read or a network cut), the new entry was taken for the previous server. The server answers 421 to requests that name the previous one, and a host that receives 421 does not ask again.

Class of fault: a cache whose key omits an input of the cached value. The texts themselves are still stored by digest, which is correct because they do not depend on the key.

Searches lack the shard until the store is back, since hosts cannot know the new names before.

--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -309,10 +309,10 @@
     /// Holds the servers that a new list lacks, and lets go of those that it names again.
     pub(super) fn hold_missing(&mut self, before: &catalog::Manifest, after: &catalog::Manifest) {
         let mut missing: Vec<Arc<plan::Part>> = Vec::new();
-        let parsed = &self.shelves[catalog::Kind::Hosts.index()].parsed;
+        let shelf = &self.shelves[catalog::Kind::Hosts.index()];
         for (key, digest) in &before.parts {
             if !after.parts.contains_key(key) {
-                missing.extend(parsed.get(digest).cloned());
+                missing.extend(shelf.part(key, *digest).cloned());
             }
         }
         for part in missing {
@@ -326,8 +326,8 @@
             let span = until - self.now;
             self.outputs.push(Output::Note(note::Note::Held { server: leaf.name.clone(), span }));
         }
-        for digest in after.parts.values() {
-            if let Some(plan::Part::Leaf(leaf)) = parsed.get(digest).map(|part| &**part) {
+        for (key, digest) in &after.parts {
+            if let Some(plan::Part::Leaf(leaf)) = shelf.part(key, *digest).map(|part| &**part) {
                 self.registry.held.remove(&leaf.name);
             }
         }
--- a/crates/core/src/control/shelf.rs
+++ b/crates/core/src/control/shelf.rs
@@ -15,7 +15,9 @@
     pub(super) current: catalog::Catalog,
     pub(super) history: history::History,
     pub(super) stamp: view::Stamp,
-    pub(super) parsed: IndexMap<catalog::Digest, Arc<plan::Part>>,
+    /// Parsed parts by key and digest of the text. The digest alone does not identify a part: parsing depends on the
+    /// key, and entries with different keys can have the same text.
+    pub(super) parsed: IndexMap<(CompactString, catalog::Digest), Arc<plan::Part>>,
     /// A newer manifest whose parts are being collected.
     pub(super) pending: Option<catalog::Manifest>,
     pub(super) refused: Option<view::Stamp>,
@@ -29,6 +31,11 @@
 }
 
 impl Shelf {
+    /// The parsed part for `key` and the text with `digest`, or `None` if it has not been parsed.
+    pub(super) fn part(&self, key: &CompactString, digest: catalog::Digest) -> Option<&Arc<plan::Part>> {
+        self.parsed.get(&(key.clone(), digest))
+    }
+
     /// Takes a later version of the content in force; `false` if `stamp` is of other content. Hosts that read
     /// the registry at different moments may give the same content different versions, and nobody needs to
     /// send it for that.
@@ -80,7 +87,7 @@
         let shelf = &mut self.shelves[kind.index()];
         let mut faults = Vec::new();
         for (key, digest) in &manifest.parts {
-            if shelf.parsed.contains_key(digest) {
+            if shelf.part(key, *digest).is_some() {
                 continue;
             }
             let text = &shelf.current.texts[digest];
@@ -89,7 +96,7 @@
                     if let plan::Part::Unreadable(fault) = &part {
                         self.outputs.push(Output::Note(note::Note::Unreadable(fault.clone())));
                     }
-                    shelf.parsed.insert(*digest, Arc::new(part));
+                    shelf.parsed.insert((key.clone(), *digest), Arc::new(part));
                 }
                 Err(found) => faults.extend(found),
             }
@@ -97,7 +104,7 @@
         if !faults.is_empty() {
             return Err(faults);
         }
-        let parts = manifest.parts.iter().map(|(key, digest)| (key, &*shelf.parsed[digest]));
+        let parts = manifest.parts.iter().map(|(key, digest)| (key, &*shelf.parsed[&(key.clone(), *digest)]));
         let faults = plan::check(parts);
         if faults.is_empty() { Ok(()) } else { Err(faults) }
     }
@@ -127,7 +134,8 @@
         let shelf = &mut self.shelves[kind.index()];
         shelf.history.take(&before, &manifest);
         shelf.current.adopt(manifest);
-        shelf.parsed.retain(|digest, _| shelf.current.texts.contains_key(digest));
+        let parts = &shelf.current.manifest.parts;
+        shelf.parsed.retain(|(key, digest), _| parts.get(key) == Some(digest));
         if kind == catalog::Kind::Hosts {
             self.lives.take(self.now, shelf.parsed.values().map(|part| &**part));
         }
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -135,8 +135,7 @@
 }
 
 impl Store {
-    /// The keys that begin with `prefix`.
-    pub fn keys(&self, prefix: &'static str) -> impl Iterator<Item = &CompactString> {
+    pub fn keys_with_prefix(&self, prefix: &'static str) -> impl Iterator<Item = &CompactString> {
         self.items.keys().filter(move |key| key.starts_with(prefix))
     }
 }
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -205,38 +205,38 @@
     assert!((0..8).all(|host| !fleet.may_use(host, "5-0") && fleet.may_use(host, "5-1")));
 }
 
-/// The names of the servers that a host's view has, in order.
-fn servers(fleet: &Fleet, host: usize) -> Vec<&str> {
+/// The sorted names of the servers in the view of `host`, without peers.
+fn server_names(fleet: &Fleet, host: usize) -> Vec<&str> {
     let servers = fleet.view(host).into_iter().flat_map(|view| view.servers.iter().flatten());
     let mut names: Vec<&str> = servers.filter(|server| !server.is_peer).map(|server| server.name.as_str()).collect();
     names.sort_unstable();
     names
 }
 
-/// Guards against a view that keeps a server's former name: its address and service are those of before, so only the
-/// key of its entry tells the two apart, and requests that name the former one are refused by the new one for good.
+/// Guards against a view that keeps the previous name of a server that was restarted at the same address. Only the key
+/// of its entry differs, and the restarted server refuses every request that names the previous one.
 #[rstest]
 fn a_server_that_starts_again_at_its_address_is_used_under_its_new_name(
     #[values(8, 67)] hosts: usize,
-    #[values(0, 4000)] away: u64,
+    #[values(0, 4000)] outage: u64,
     #[values(1, 2)] seed: u64,
 ) {
     let mut fleet = started(hosts, 4, seed);
-    fleet.store.away = away > 0;
-    fleet.run_until(8000 + away / 2);
+    fleet.store.away = outage > 0;
+    fleet.run_until(8000 + outage / 2);
     fleet.remove("leaf/3-0");
     fleet.put("leaf/3-0-again", "s3 dc-3 ready");
-    fleet.run_until(8000 + away);
+    fleet.run_until(8000 + outage);
     fleet.store.away = false;
-    fleet.run_until(14_000 + away);
+    fleet.run_until(14_000 + outage);
     for host in 0..hosts {
-        assert!(fleet.may_use(host, "3-0-again"), "host {host} does not use the server that is listed");
-        assert!(!fleet.may_use(host, "3-0"), "host {host} uses a server that is not listed");
+        assert!(fleet.may_use(host, "3-0-again"), "host {host} does not use the restarted server under its new name");
+        assert!(!fleet.may_use(host, "3-0"), "host {host} still uses the restarted server under its previous name");
     }
 }
 
-/// Guards against a view whose servers are not those that the registry lists, whatever was written, in which order,
-/// and whether hosts saw each change or only the last of several.
+/// Guards against a view whose servers differ from those in the registry after random writes, removals, outages and
+/// loss of history, where a host may observe several changes as one.
 #[rstest]
 fn views_have_the_servers_that_the_registry_lists(
     #[values(3, 12)] hosts: usize,
@@ -258,10 +258,11 @@
     }
     fleet.store.away = false;
     fleet.run_until(fleet.now + 8000);
-    let mut listed: Vec<String> = fleet.store.keys("leaf/").map(|key| key["leaf/".len()..].to_owned()).collect();
+    let mut listed: Vec<String> =
+        fleet.store.keys_with_prefix("leaf/").map(|key| key["leaf/".len()..].to_owned()).collect();
     listed.sort_unstable();
     for host in 0..hosts {
-        assert_eq!(servers(&fleet, host), listed, "host {host}");
+        assert_eq!(server_names(&fleet, host), listed, "host {host}: servers in the view (left) and listed (right)");
     }
 }
 
