Clear is_replaced when a server's listed address changes

Found while investigating the servers that no host used. After a host gets a 421 from another server at an address, it sends no requests to the intended server until that server's incarnation changes. Where servers report no incarnation, the host never used the server again, even if the list had since given it a new address or had omitted it for a while. A 421 to a request sent before the address changed is evidence about the former address only, and no longer excludes the server.

`a_server_with_another_address_is_used_again` failed in 2 of 2 cases before the change, and `a_late_misdirected_reply_does_not_exclude_the_new_address` failed without the part of it for late replies.

--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -150,7 +150,9 @@
         self.stats.refused += 1;
         self.note_failed(row, event::Reply::Misdirected);
         self.note_end(row.server);
-        self.servers[row.server.index()].is_replaced = true;
+        // The reply to a request sent before the address changed says nothing about the current address.
+        let state = &mut self.servers[row.server.index()];
+        state.is_replaced |= row.sent > state.address_since;
         self.release(row.server);
         self.requeue(row.server);
         self.retry(row.query, row.part, true, false);
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -253,6 +253,7 @@
             self.breach(invariant::Name::ConfigMonotonic, detail);
             return;
         }
+        self.clear_replaced(&view);
         self.view = view;
         let usual = 1.0 / f64::from(self.view.hosts.max(1));
         self.fleet.set_parts(self.now, usual, &self.view.parts, self.lane.count.max(1));
@@ -273,6 +274,20 @@
         self.note(note::Note::View { servers, leaving, evacuated });
     }
 
+    /// Clears `is_replaced` for servers whose address in `view` differs from the one in the current view, or that `view`
+    /// no longer lists. A misdirected reply concerns only the address that it came from.
+    fn clear_replaced(&mut self, view: &view::View) {
+        for (index, row) in self.servers.iter_mut().enumerate() {
+            let server = id::Server(index as u32);
+            let before = self.view.server(server).map(|published| &published.address);
+            let after = view.server(server).map(|published| &published.address);
+            if before != after {
+                row.is_replaced = false;
+                row.address_since = self.now;
+            }
+        }
+    }
+
     /// Takes what the view in force says of a server. `true` if it has started anew.
     fn refresh_server(&mut self, id: id::Server) -> bool {
         self.note_restart(id);
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -55,8 +55,11 @@
     pub(crate) holds: [Option<view::Snapshot>; 2],
     pub(crate) waiting: [VecDeque<Wait>; view::Class::PRIORITIES],
     pub(crate) ejected_until: clock::Millis,
-    /// Another server was found at its address; nothing is sent there until the view changes.
+    /// Another server answered at its address; no requests are sent until its listed address or incarnation changes, or
+    /// it is removed from the view.
     pub(crate) is_replaced: bool,
+    /// When its listed address last changed. Misdirected replies to requests sent until then do not set `is_replaced`.
+    pub(crate) address_since: clock::Millis,
     /// How little it gets while it warms up.
     pub(crate) warm_up: warm_up::WarmUp,
     /// Its data centre is evacuated.
@@ -98,6 +101,7 @@
             waiting: Default::default(),
             ejected_until: clock::Millis::ZERO,
             is_replaced: false,
+            address_since: clock::Millis::ZERO,
             warm_up: warm_up::WarmUp::default(),
             is_evacuated: false,
             losses: suspect::Losses::default(),
--- a/crates/core/tests/reborn.rs
+++ b/crates/core/tests/reborn.rs
@@ -156,3 +156,47 @@
     let outputs = core.step(clock::Millis(20), [view(incarnation, 2, true, 1)]);
     assert!(!outputs.iter().any(|output| matches!(output, event::Output::Trim { .. } | event::Output::Cancel { .. })));
 }
+
+/// A view with one leaf at `address` that reports no incarnation, or with no leaf if `address` is `None`.
+fn view_at(address: Option<&'static str>, revision: u64) -> event::Input {
+    let event::Input::View(view) = view(0, revision, true, 1) else {
+        unreachable!("`view` returns `Input::View`");
+    };
+    let mut view = view::View::clone(&view);
+    match (address, &mut view.servers[0]) {
+        (Some(address), Some(server)) => server.address = address.into(),
+        (_, server) => *server = None,
+    }
+    event::Input::View(Arc::new(view))
+}
+
+/// Guards against a server without an incarnation staying excluded after a misdirected reply from its former address,
+/// even though the list has since given it a new address.
+#[rstest]
+fn a_server_with_another_address_is_used_again(#[values(true, false)] stays_listed: bool) {
+    let mut core = core();
+    core.step(clock::Millis(1), [view_at(Some("former"), 1)]);
+    let outputs = core.step(clock::Millis(2), [request(1)]);
+    let attempt = dispatched(&outputs)[0].attempt;
+    core.step(clock::Millis(3), [event::Input::Reply { attempt, reply: event::Reply::Misdirected }]);
+    let outputs = core.step(clock::Millis(4), [view_at(Some("former"), 2), request(2)]);
+    assert!(dispatched(&outputs).is_empty(), "a request was sent to the address of another server");
+    if !stays_listed {
+        core.step(clock::Millis(5), [view_at(None, 3)]);
+    }
+    let outputs = core.step(clock::Millis(6), [view_at(Some("latter"), 4), request(3)]);
+    assert_eq!(dispatched(&outputs).len(), 1, "no request was sent to the new address");
+}
+
+/// Guards against a late misdirected reply from a server's former address excluding the server at its new address.
+#[test]
+fn a_late_misdirected_reply_does_not_exclude_the_new_address() {
+    let mut core = core();
+    core.step(clock::Millis(1), [view_at(Some("former"), 1)]);
+    let outputs = core.step(clock::Millis(2), [request(1)]);
+    let attempt = dispatched(&outputs)[0].attempt;
+    core.step(clock::Millis(3), [view_at(Some("latter"), 2)]);
+    core.step(clock::Millis(4), [event::Input::Reply { attempt, reply: event::Reply::Misdirected }]);
+    let outputs = core.step(clock::Millis(600), [view_at(Some("latter"), 3), request(2)]);
+    assert_eq!(dispatched(&outputs).len(), 1, "no request was sent to the new address");
+}
