Drop the parsed parts of a refused configuration

A configuration is refused as a whole, but the parts that were parsed before the refusal stayed with those in force. Views are compiled from all parsed parts, so the next change of a host or a server put the refused configuration in force beside the previous one. Drop these parts when a document is refused.

Found while investigating the servers that no host used.

--- a/crates/core/src/control/shelf.rs
+++ b/crates/core/src/control/shelf.rs
@@ -36,6 +36,13 @@
         self.parsed.get(&(key.clone(), digest))
     }
 
+    /// Drops parsed parts that are not in the catalog in force, such as those of a refused document, because views are
+    /// compiled from all parsed parts.
+    fn retain_parts_in_force(&mut self) {
+        let parts = &self.current.manifest.parts;
+        self.parsed.retain(|(key, digest), _| parts.get(key) == Some(digest));
+    }
+
     /// Takes a later version of the content in force; `false` if `stamp` is of other content. Hosts that read
     /// the registry at different moments may give the same content different versions, and nobody needs to
     /// send it for that.
@@ -74,6 +81,7 @@
         }
         let stamp = manifest.stamp();
         if let Err(faults) = self.judge(kind, &manifest) {
+            self.shelves[kind.index()].retain_parts_in_force();
             self.refuse(kind, stamp, faults);
             return false;
         }
@@ -134,8 +142,7 @@
         let shelf = &mut self.shelves[kind.index()];
         shelf.history.take(&before, &manifest);
         shelf.current.adopt(manifest);
-        let parts = &shelf.current.manifest.parts;
-        shelf.parsed.retain(|(key, digest), _| parts.get(key) == Some(digest));
+        shelf.retain_parts_in_force();
         if kind == catalog::Kind::Hosts {
             self.lives.take(self.now, shelf.parsed.values().map(|part| &**part));
         }
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -179,6 +179,8 @@
     happenings: IndexMap<u64, Happening>,
     sequence: u64,
     random: rngs::SmallRng,
+    /// Whether a document that a host refuses is ignored instead of failing the test.
+    pub allows_refusals: bool,
     /// Until when connections from one host to another are stuck.
     stuck: IndexMap<(usize, usize), u64>,
     /// Size of a message on the wire, which may be packed.
@@ -217,6 +219,7 @@
             happenings: IndexMap::new(),
             sequence: 0,
             random: rngs::SmallRng::seed_from_u64(seed),
+            allows_refusals: false,
             stuck: IndexMap::new(),
             measure: |_, _| 0,
         };
@@ -411,6 +414,7 @@
                 self.hosts[host].ready_at.get_or_insert(self.now);
                 self.hosts[host].views.push(view);
             }
+            control::Output::Refused { .. } if self.allows_refusals => {}
             control::Output::Refused { faults, .. } => panic!("refused: {faults:?}"),
             control::Output::Breach(breach) => panic!("{breach:?}"),
             control::Output::Note(note) => self.hosts[host].notes.push(note),
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -266,6 +266,22 @@
     }
 }
 
+/// Guards against a refused configuration taking effect when a view is compiled after a host or a server changes.
+#[rstest]
+fn a_refused_configuration_is_in_no_view(#[values(1, 2)] seed: u64) {
+    let mut fleet = started(8, 4, seed);
+    fleet.allows_refusals = true;
+    fleet.put("config", "2 0");
+    fleet.run_until(10_000);
+    fleet.leave(5);
+    fleet.put("leaf/3-0", "s3 dc-3 leaving");
+    fleet.run_until(14_000);
+    for host in 0..8 {
+        let view = fleet.view(host).expect("a view");
+        assert_eq!((view.number, view.classes["sweep"].branches[0].targets.len()), (1, 20), "host {host}");
+    }
+}
+
 fn states(fleet: &Fleet, host: usize, state: State) -> usize {
     fleet.hosts[host].core.members().filter(|(_, other)| *other == state).count()
 }
