Log and count dropped whole reads of the registry

After a registry outage, each host read the whole registry 229 to 430 times and kept its existing copy. Neither the log nor the metrics showed that the reads were dropped, or which revision the registry was at, so a registry that had lost changes could not be distinguished from one that was lagging. Count each such read in `platform_stale` and log it with both revisions.

The check uses the revision of the last page, whereas the read is dropped on that of the first, so reads of several pages whose revisions lie on both sides of the known one are misreported.

No decision changes.

--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -22,6 +22,13 @@
         /// The revision that is known.
         at: u64,
     },
+    /// A whole read of the registry was dropped because it is older than the known revision.
+    StaleRead {
+        /// The revision that is known.
+        at: u64,
+        /// The registry's revision on the last page of the read.
+        read_at: u64,
+    },
     /// A catalog came from another host.
     FromPeer {
         /// `IP:PORT` of the host.
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -189,10 +189,15 @@
         let Some(kinds) = self.kinds() else {
             return;
         };
+        let (at, read_at) = (self.registry.mirror.at(), page.at);
         if let Some(after) = self.registry.mirror.take_page(page, kinds) {
             self.outputs.push(Output::List { after: Some(after) });
             return;
         }
+        if read_at < at {
+            self.stats.platform_stale += 1;
+            self.outputs.push(Output::Note(note::Note::StaleRead { at, read_at }));
+        }
         self.registry.call = Call::None;
         self.rebuild();
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -348,6 +348,9 @@
         note::Note::SourceLost { at } => tracing::warn!(at, "lost the registry"),
         note::Note::SourceBack { at } => tracing::info!(at, "the registry is back"),
         note::Note::HistoryGone { at } => tracing::info!(at, "the registry forgot its history; reading it whole"),
+        note::Note::StaleRead { at, read_at } => {
+            tracing::warn!(at, read_at, "dropped a whole read of the registry older than the known revision");
+        }
         note::Note::FromPeer { from, stamp } => {
             tracing::info!(peer = %from, stamp = %stamp, "took a catalog of a peer")
         }
