Reproduce a registry that comes back from a copy in tests that fail

What callers saw: hosts served an older configuration more than three seconds after a newer one was acknowledged, since the registry had come back from a copy some seconds old and gave its revisions out again.

--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -140,6 +140,13 @@
     }
 }
 
+/// What the registry held at some moment.
+#[derive(Clone)]
+pub struct Copy {
+    items: IndexMap<CompactString, (Arc<str>, u64)>,
+    revision: u64,
+}
+
 /// A host.
 pub struct Host {
     pub core: control::Core,
@@ -179,7 +186,7 @@
     happenings: IndexMap<u64, Happening>,
     sequence: u64,
     random: rngs::SmallRng,
-    /// Whether a document that a host refuses is ignored instead of failing the test.
+    /// Whether hosts may refuse a document.
     pub allows_refusals: bool,
     /// Until when connections from one host to another are stuck.
     stuck: IndexMap<(usize, usize), u64>,
@@ -187,6 +194,13 @@
     measure: fn(&message::Message, bool) -> usize,
 }
 
+fn revision(event: &mirror::Event) -> u64 {
+    match event {
+        mirror::Event::Put(item) => item.revision,
+        mirror::Event::Gone { revision, .. } => *revision,
+    }
+}
+
 /// Bytes of an item in an answer of the registry: the value in base 64, and what stands around it.
 fn bytes_of(item: &mirror::Item) -> u64 {
     (item.text.len() * 4 / 3 + item.key.len() + 90) as u64
@@ -290,6 +304,26 @@
     pub fn forget_history(&mut self) {
         self.store.forgotten = self.store.revision;
         self.store.is_deaf = false;
+        self.cut_watches();
+    }
+
+    /// Copies what the registry holds.
+    pub fn copy(&self) -> Copy {
+        Copy { items: self.store.items.clone(), revision: self.store.revision }
+    }
+
+    /// Takes the registry back to `copy`: what was written since is gone, its revisions are given out again, and
+    /// watches that wait are cut.
+    pub fn restore(&mut self, copy: &Copy) {
+        self.store.items = copy.items.clone();
+        self.store.revision = copy.revision;
+        self.store.forgotten = self.store.forgotten.min(copy.revision);
+        self.store.log.retain(|event| revision(event) <= copy.revision);
+        self.cut_watches();
+    }
+
+    /// Cuts the watches that wait.
+    pub fn cut_watches(&mut self) {
         for waiting in std::mem::take(&mut self.waiting) {
             let changes = mirror::Changes::Failed;
             let input = control::Input::Changes { ticket: waiting.ticket, changes };
@@ -450,7 +484,7 @@
             let waiting = &self.waiting[index];
             let is_refused = self.store.away || self.store.refuses.contains(&waiting.host);
             let is_heard = !waiting.is_lost && !self.hosts[waiting.host].is_cut;
-            let has_news = waiting.after < self.store.revision && !self.store.is_deaf;
+            let has_news = waiting.after != self.store.revision && !self.store.is_deaf;
             let (is_refused, has_news) = (is_refused && is_heard, has_news && is_heard);
             if !is_refused && !has_news {
                 index += 1;
@@ -479,14 +513,10 @@
     }
 
     fn changes(&self, after: u64) -> mirror::Changes {
-        if after < self.store.forgotten {
+        if after < self.store.forgotten || after > self.store.revision {
             return mirror::Changes::HistoryGone;
         }
-        let is_newer = |event: &&mirror::Event| match event {
-            mirror::Event::Put(item) => item.revision > after,
-            mirror::Event::Gone { revision, .. } => *revision > after,
-        };
-        let events = self.store.log.iter().filter(is_newer).cloned().collect();
+        let events = self.store.log.iter().filter(|event| revision(event) > after).cloned().collect();
         mirror::Changes::News { events, at: self.store.revision }
     }
 
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 #[expect(unreachable_pub, reason = "a module of this test alone")]
 mod fleet;
+mod restored;
 mod suspects;
 
 use fleet::Fleet;
--- /dev/null
+++ b/crates/core/tests/registry/restored.rs
@@ -0,0 +1,184 @@
+//! A registry that comes back from a copy: what was written since is gone, and its revisions are given out again.
+
+use rand::{Rng, SeedableRng, rngs};
+use rstest::rstest;
+
+use super::{
+    fleet::{Copy, Fleet},
+    server_names, started,
+};
+
+/// Time for which a change may take to be in force everywhere, in ms.
+const IN_FORCE: u64 = 3000;
+/// How long the registry is away before it comes back from a copy, in ms.
+const AWAY: u64 = 1500;
+
+/// The registry goes away, and comes back from `copy`.
+fn restore(fleet: &mut Fleet, copy: &Copy) {
+    fleet.store.away = true;
+    fleet.cut_watches();
+    fleet.run_until(fleet.now + AWAY);
+    fleet.restore(copy);
+    fleet.store.away = false;
+}
+
+/// The configuration's number in the view of each host; 0 without a view.
+fn numbers(fleet: &Fleet) -> Vec<u64> {
+    (0..fleet.hosts.len()).map(|host| fleet.view(host).map_or(0, |view| view.number)).collect()
+}
+
+/// Lets time pass until `until` and checks that no host goes back to an older configuration.
+fn run_until(fleet: &mut Fleet, until: u64) {
+    let mut before = numbers(fleet);
+    while fleet.now < until {
+        fleet.run_until((fleet.now + 20).min(until));
+        let now = numbers(fleet);
+        for (host, (before, now)) in before.iter().zip(&now).enumerate() {
+            assert!(now >= before, "host {host} went back from {before} to {now} at {} ms", fleet.now);
+        }
+        before = now;
+    }
+}
+
+/// Guards against changes that are not taken after a restore, since the registry's revisions are lower than the known
+/// one, or have passed it meanwhile.
+#[rstest]
+fn a_change_after_a_restore_is_in_force_in_time(
+    #[values(8, 67)] hosts: usize,
+    #[values(0, 1, 30)] written_since: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.put("config", "2 20");
+    fleet.run_until(fleet.now + 2000);
+    for leaf in 0..10 {
+        fleet.put(&format!("leaf/{leaf}-0"), &format!("s{leaf} dc-{} ready beat", leaf % 4));
+    }
+    fleet.run_until(fleet.now + 1000);
+    assert_eq!(fleet.have(2), hosts);
+    restore(&mut fleet, &copy);
+    for beat in 0..written_since {
+        fleet.put("leaf/5-1", &format!("s5 dc-2 ready {beat}"));
+    }
+    fleet.put("config", "3 20");
+    let until = fleet.now + IN_FORCE;
+    run_until(&mut fleet, until);
+    assert_eq!(fleet.have(3), hosts);
+}
+
+/// Guards against a restored registry that takes hosts back to the configuration in its copy until operators write the
+/// lost one again, and against hosts that start meanwhile and take the older one.
+#[rstest]
+fn a_lost_configuration_stays_in_force(#[values(8, 67)] hosts: usize, #[values(1, 2, 3)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.put("config", "2 20");
+    fleet.run_until(fleet.now + 3000);
+    restore(&mut fleet, &copy);
+    fleet.restart(5, 500);
+    fleet.hosts[5].views.clear();
+    let until = fleet.now + 4000;
+    run_until(&mut fleet, until);
+    assert_eq!(fleet.have(2), hosts, "before it is written again");
+    fleet.put("config", "2 20");
+    let until = fleet.now + IN_FORCE;
+    run_until(&mut fleet, until);
+    fleet.put("config", "4 20");
+    let until = fleet.now + IN_FORCE;
+    run_until(&mut fleet, until);
+    assert_eq!(fleet.have(4), hosts, "a later one");
+}
+
+/// Guards against servers that get no work after a restore, although they register again within two seconds, and
+/// against work for one that leaves.
+#[rstest]
+fn servers_outlast_a_restore(#[values(8, 67)] hosts: usize, #[values(1, 2, 3)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.put("leaf/3-new", "s3 dc-1 ready");
+    fleet.put("leaf/4-0", "s4 dc-0 leaving");
+    fleet.run_until(fleet.now + 2000);
+    assert!((0..hosts).all(|host| fleet.may_use(host, "3-new") && !fleet.may_use(host, "4-0")));
+    restore(&mut fleet, &copy);
+    for step in 0..90 {
+        if step == 18 {
+            fleet.put("leaf/3-new", "s3 dc-1 ready");
+        }
+        fleet.run_until(fleet.now + 100);
+        for host in 0..hosts {
+            assert!(fleet.may_use(host, "3-new"), "host {host} dropped a server that lives, after {step} steps");
+            assert!(!fleet.may_use(host, "4-0"), "host {host} uses a server that leaves, after {step} steps");
+        }
+    }
+}
+
+/// Guards against hosts that read a restored registry again and again without a pause.
+#[rstest]
+fn a_restore_costs_few_reads(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.put("config", "2 20");
+    fleet.run_until(fleet.now + 2000);
+    let reads = fleet.store.reads;
+    restore(&mut fleet, &copy);
+    fleet.run_until(fleet.now + 4000);
+    let reads = fleet.store.reads - reads;
+    assert!(reads <= 3 * hosts as u64, "{reads} whole reads");
+}
+
+/// Guards against views that differ from the registry after any order of writes, outages, cuts, restarts and restores,
+/// and against a configuration that is taken back on the way.
+#[rstest]
+fn restores_leave_the_latest_configuration_and_list(
+    #[values(3, 12)] hosts: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    let mut random = rngs::SmallRng::seed_from_u64(seed);
+    let mut fleet = started(hosts, 3, seed);
+    let mut number = 1;
+    let mut copy = fleet.copy();
+    for _ in 0..40 {
+        let until = fleet.now + random.random_range(1..800);
+        run_until(&mut fleet, until);
+        let key = format!("leaf/{}-new", random.random_range(0..4));
+        match random.random_range(0..12) {
+            0..3 => {
+                number += random.random_range(1..4);
+                fleet.put("config", &format!("{number} 20"));
+            }
+            3..5 => fleet.put(&key, &format!("s{} dc-0 ready", &key[5..6])),
+            5 => fleet.remove(&key),
+            6 => fleet.store.away = !fleet.store.away,
+            7 => copy = fleet.copy(),
+            8 => {
+                restore(&mut fleet, &copy);
+                copy = fleet.copy();
+                let until = fleet.now + random.random_range(1..1500);
+                run_until(&mut fleet, until);
+                fleet.put("config", &format!("{number} 20"));
+            }
+            9 => fleet.forget_history(),
+            10 => {
+                let host = random.random_range(0..hosts);
+                fleet.hosts[host].is_cut = !fleet.hosts[host].is_cut;
+            }
+            _ => {
+                let host = random.random_range(0..hosts);
+                fleet.restart(host, random.random_range(100..1000));
+                fleet.hosts[host].views.clear();
+            }
+        }
+    }
+    fleet.store.away = false;
+    fleet.hosts.iter_mut().for_each(|host| host.is_cut = false);
+    let until = fleet.now + 12_000;
+    run_until(&mut fleet, until);
+    assert_eq!(fleet.have(number), hosts);
+    let mut listed: Vec<String> =
+        fleet.store.keys_with_prefix("leaf/").map(|key| key["leaf/".len()..].to_owned()).collect();
+    listed.sort_unstable();
+    for host in 0..hosts {
+        assert_eq!(server_names(&fleet, host), listed, "host {host}: servers in the view (left) and listed (right)");
+    }
+}
