Reject a difference whose result has another digest

A host that receives a difference applies it to its catalog and compares the digest of the result with the sender's. Before that comparison, it checked whether the result equals its own catalog and, if so, took the version of the difference. A difference from a later base that changes nothing in the outdated list passed that check, so the list got the latest version. A difference between two lists of the same version was then empty, whether such a host requested it or was asked for it, so the list was never corrected.

This is a fault of the class in which content is trusted under a version before it is verified.

Compare the digest first. A host whose result differs requests the whole catalog if what was announced is later than what it has and was not refused. Nodes that announce no digest are treated as before.

--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -170,6 +170,14 @@
         }
         manifest.parts.sort_unstable_keys();
         let stamp = manifest.stamp();
+        let is_other = update.digest != 0 && update.digest != stamp.digest;
+        if is_other {
+            // The result is not the sender's catalog. Under the sender's version it would not be corrected later.
+            if theirs > shelf.stamp && shelf.refused != Some(theirs) {
+                self.ask_whole(from, kind);
+            }
+            return;
+        }
         let is_older = stamp <= shelf.stamp && !mutant::is(mutant::Mutant::AcceptOlder);
         if is_older || shelf.refused == Some(stamp) {
             return;
@@ -177,11 +185,6 @@
         if shelf.take_version(stamp) {
             return;
         }
-        let is_other = update.digest != 0 && update.digest != stamp.digest;
-        if is_other {
-            self.ask_whole(from, kind);
-            return;
-        }
         shelf.current.texts.extend(texts);
         if !shelf.current.lacks(&manifest).is_empty() {
             self.ask_whole(from, kind);
--- a/crates/core/tests/registry/restored.rs
+++ b/crates/core/tests/registry/restored.rs
@@ -134,6 +134,33 @@
     #[values(3, 12)] hosts: usize,
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
 ) {
+    run_random_operations(hosts, seed, true);
+}
+
+/// Guards against hosts that keep an outdated list of servers after taking the version of a difference that does not
+/// apply to it, or after a whole read that equals their copy but not the list in force.
+#[rstest]
+#[case(3, 1335, false)]
+#[case(12, 1096, false)]
+#[case(12, 1335, false)]
+#[case(12, 2214, false)]
+#[case(12, 2271, false)]
+#[case(12, 2366, false)]
+#[case(3, 1029, true)]
+#[case(3, 1197, true)]
+#[case(3, 2045, true)]
+#[case(12, 1019, true)]
+#[case(12, 2027, true)]
+#[case(12, 2228, true)]
+#[case(12, 2238, true)]
+#[case(12, 2325, true)]
+fn hosts_with_one_version_have_one_list(#[case] hosts: usize, #[case] seed: u64, #[case] has_restores: bool) {
+    run_random_operations(hosts, seed, has_restores);
+}
+
+/// Runs random writes, removals, outages, losses of the history, cuts, restarts and, with `has_restores`, restores.
+/// Checks that no host goes back to an older configuration and that all views match the registry at the end.
+fn run_random_operations(hosts: usize, seed: u64, has_restores: bool) {
     let mut random = rngs::SmallRng::seed_from_u64(seed);
     let mut fleet = started(hosts, 3, seed);
     let mut number = 1;
@@ -151,7 +178,7 @@
             5 => fleet.remove(&key),
             6 => fleet.store.away = !fleet.store.away,
             7 => copy = fleet.copy(),
-            8 => {
+            8 if has_restores => {
                 restore(&mut fleet, &copy);
                 copy = fleet.copy();
                 let until = fleet.now + random.random_range(1..1500);
