Apply a whole read that equals the previous copy

Random trials (seed 2396 with three hosts and restores) left hosts with a list from before a restore.

Whether a whole read changes anything was decided by comparing it with the host's own copy. If the catalog in force had come from another host and was later than the copy, a read equal to the old copy counted as no change. The catalog in force stayed and was announced to other hosts as complete up to the revision of the read.

Build a catalog from a whole read also if the catalog in force is later than the previous copy.

Case 15 of `hosts_with_one_version_have_one_list` failed before.

--- a/crates/core/src/control/mirror.rs
+++ b/crates/core/src/control/mirror.rs
@@ -120,7 +120,8 @@
     }
 
     /// Takes a page. When it was the last, the whole read replaces the copy, unless the copy is newer.
-    pub(super) fn take_page(&mut self, page: Page, kinds: Kinds) -> ReadProgress {
+    /// `versions_in_force` are the versions of the catalogs in force, by [`catalog::Kind::index`].
+    pub(super) fn take_page(&mut self, page: Page, kinds: Kinds, versions_in_force: [u64; 2]) -> ReadProgress {
         let at = revision::Revision { era: page.era, number: page.at };
         let (first, items) = self.reading.get_or_insert((at, Vec::new()));
         if first.era != at.era {
@@ -137,7 +138,7 @@
         if at < self.at {
             return ReadProgress::Stale { read_at: at };
         }
-        self.at = at;
+        let old_at = std::mem::replace(&mut self.at, at);
         let before = std::mem::take(&mut self.rows);
         let changed_at = self.changed_at;
         for item in items {
@@ -145,6 +146,13 @@
         }
         self.changed_at = changed_at;
         self.note_differences(&before, at, kinds);
+        for kind in catalog::Kind::ALL {
+            // A catalog in force that is later than the old copy came from another host. It may differ from the new
+            // copy even if the old copy does not.
+            if old_at.version() < versions_in_force[kind.index()] {
+                self.changed_at[kind.index()] = at.version();
+            }
+        }
         ReadProgress::Done
     }
 
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -192,7 +192,8 @@
             return;
         };
         let at = self.registry.mirror.at();
-        match self.registry.mirror.take_page(page, kinds) {
+        let versions_in_force = [self.shelves[0].stamp.version, self.shelves[1].stamp.version];
+        match self.registry.mirror.take_page(page, kinds, versions_in_force) {
             mirror::ReadProgress::Next { after } => self.outputs.push(Output::List { after: Some(after) }),
             mirror::ReadProgress::EraChanged => {
                 self.registry.call = Call::None;
--- a/crates/core/tests/registry/restored.rs
+++ b/crates/core/tests/registry/restored.rs
@@ -154,6 +154,7 @@
 #[case(12, 2228, true)]
 #[case(12, 2238, true)]
 #[case(12, 2325, true)]
+#[case(3, 2396, true)]
 fn hosts_with_one_version_have_one_list(#[case] hosts: usize, #[case] seed: u64, #[case] has_restores: bool) {
     run_random_operations(hosts, seed, has_restores);
 }
