Keep removed servers out and evacuations in force after a restore

Found by checking for the same cause elsewhere: until entries lapse or operators write again, a registry restored from a backup lists servers that had been removed and lacks evacuations. Hosts followed it, so servers that were going away and evacuated data centres got work again.

For four seconds after a host applies a restored list, a listed server that the host had seen and that had been removed gets no work, and an evacuation that is missing stays in force. Servers that were only briefly missing, and held, and servers that are new to the host are used at once.

`a_removed_server_gets_no_work_after_a_restore` and `an_evacuation_outlasts_a_restore` failed in 8 of 8 cases each before this change.

--- a/crates/core/src/control/hold.rs
+++ b/crates/core/src/control/hold.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether `name` is held.
+    pub(super) fn contains(&self, name: &CompactString) -> bool {
+        self.rows.contains_key(name)
+    }
+
     /// Lets go of `name`, which is listed again.
     pub(super) fn remove(&mut self, name: &CompactString) {
         self.rows.swap_remove(name);
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod platform;
 mod policy;
 mod registry;
+mod restored;
 mod shelf;
 mod spread;
 mod start;
@@ -136,6 +137,7 @@
     turn: u64,
     registry: registry::Registry,
     lives: life::Lives,
+    restore_overrides: restored::Overrides,
     suspects: suspects::Suspects,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
@@ -181,6 +183,7 @@
             turn: 0,
             registry: registry::Registry::default(),
             lives: life::Lives::default(),
+            restore_overrides: restored::Overrides::default(),
             suspects: suspects::Suspects::default(),
             gossip_at: now,
             started_at: now,
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -45,6 +45,13 @@
         /// The registry's revision on the first page of the read.
         read_at: revision::Revision,
     },
+    /// Outdated contents of a restored registry are temporarily overridden.
+    RestoreOverridden {
+        /// Servers that were removed before the restore and are listed again; they get no work.
+        removed: Vec<CompactString>,
+        /// Data centres whose evacuations are missing from the list and stay in force.
+        evacuated: Vec<CompactString>,
+    },
     /// A catalog came from another host.
     FromPeer {
         /// `IP:PORT` of the host.
--- a/crates/core/src/control/registry.rs
+++ b/crates/core/src/control/registry.rs
@@ -394,18 +394,50 @@
         self.registry.held.review(after.parts.len(), self.policy.serve_on);
     }
 
+    /// Temporarily keeps removed servers that the restored list `after` names again out of use, and evacuations that it
+    /// lacks in force. A server that is held, or that this process has not seen before, does not count as removed.
+    pub(super) fn override_restored(&mut self, before: &catalog::Manifest, after: &catalog::Manifest) {
+        let shelf = &self.shelves[catalog::Kind::Hosts.index()];
+        let (mut removed, mut evacuated) = (Vec::new(), Vec::new());
+        for (key, digest) in after.parts.iter().filter(|(key, _)| !before.parts.contains_key(*key)) {
+            if let Some(plan::Part::Leaf(leaf)) = shelf.part(key, *digest).map(|part| &**part)
+                && self.servers.contains(&leaf.name)
+                && !self.registry.held.contains(&leaf.name)
+            {
+                removed.push(leaf.name.clone());
+            }
+        }
+        for (key, digest) in before.parts.iter().filter(|(key, _)| !after.parts.contains_key(*key)) {
+            if let Some(plan::Part::Evacuation(data_centres)) = shelf.part(key, *digest).map(|part| &**part) {
+                evacuated.extend(data_centres.iter().cloned());
+            }
+        }
+        for name in &removed {
+            self.restore_overrides.add_removed(self.now, name.clone());
+        }
+        for data_centre in &evacuated {
+            self.restore_overrides.add_evacuated(self.now, data_centre.clone());
+        }
+        if !removed.is_empty() || !evacuated.is_empty() {
+            self.outputs.push(Output::Note(note::Note::RestoreOverridden { removed, evacuated }));
+        }
+    }
+
     fn expire_held(&mut self) {
+        let has_expired = self.restore_overrides.expire(self.now);
         let gone = self.registry.held.expire(self.now);
-        if gone.is_empty() {
+        if !gone.is_empty() {
+            self.outputs.push(Output::Note(note::Note::Gone { servers: gone }));
+        } else if !has_expired {
             return;
         }
-        self.outputs.push(Output::Note(note::Note::Gone { servers: gone }));
         self.compile();
     }
 
     /// When a system of the registry must run at the latest.
     pub(super) fn registry_timer(&self) -> clock::Millis {
         let held = self.registry.held.next().unwrap_or(clock::Millis::MAX);
+        let held = held.min(self.restore_overrides.next().unwrap_or(clock::Millis::MAX));
         let is_idle = self.registry.call == Call::None;
         let call = match is_idle {
             true if self.may_ask() => self.registry.call_at,
--- a/crates/core/src/control/shelf.rs
+++ b/crates/core/src/control/shelf.rs
@@ -144,6 +144,9 @@
             if era(stamp) > era(old_stamp) {
                 // Servers need time to register again after a restore, as after an outage.
                 self.registry.held.on_restored(self.now);
+                if old_stamp.version > 0 {
+                    self.override_restored(&before, &manifest);
+                }
             }
             self.hold_missing(&before, &manifest);
         }
--- a/crates/core/src/control/views.rs
+++ b/crates/core/src/control/views.rs
@@ -1,6 +1,6 @@
 //! From catalogs and members to the view in force, and to who watches.
 
-use std::sync::Arc;
+use std::{iter, sync::Arc};
 
 use crate::{catalog, clock, mutant, plan, rendezvous, view};
 
@@ -40,7 +40,6 @@
             self.servers.forget_marks();
         }
         let stamps = [self.shelves[0].stamp, self.shelves[1].stamp];
-        let parts = self.shelves.iter().flat_map(|shelf| shelf.parsed.values()).map(|part| &**part);
         let held = self.registry.held.leafs();
         let reborn = self.lives.reborn();
         let members = match self.reader.source {
@@ -55,6 +54,7 @@
             power: self.identity.power,
             is_open: true,
         };
+        let evacuated = plan::Part::Evacuation(self.restore_overrides.evacuated());
         let is_settled = self.standing == Standing::Settled;
         let tolerance = view::Tolerance { overage: self.policy.warm_up_overage, slack: self.policy.warm_up_slack };
         let fleet = plan::Fleet {
@@ -67,6 +67,10 @@
             tolerance,
             regions: Some(&self.identity.regions),
         };
+        let overrides = &self.restore_overrides;
+        let is_used = |part: &&plan::Part| !matches!(part, plan::Part::Leaf(leaf) if overrides.is_removed(&leaf.name));
+        let parts = self.shelves.iter().flat_map(|shelf| shelf.parsed.values()).map(|part| &**part);
+        let parts = parts.filter(is_used).chain(iter::once(&evacuated));
         let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
         self.note_evacuations(&view);
         self.stats.entries = self.shelves[catalog::Kind::Hosts.index()].current.manifest.parts.len() as u64;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -328,6 +328,11 @@
         id::Server(index as u32)
     }
 
+    /// Whether a server called `name` was ever seen.
+    pub fn contains(&self, name: &str) -> bool {
+        self.servers.contains(name)
+    }
+
     /// The index of the service called `name`, the same for the life of the process.
     pub fn intern_service(&mut self, name: &str) -> id::Service {
         let (index, _) = self.services.insert_full(CompactString::from(name));
--- a/crates/core/tests/registry/restored.rs
+++ b/crates/core/tests/registry/restored.rs
@@ -113,6 +113,75 @@
     }
 }
 
+/// Guards against using a removed server that the backup lists until its entry lapses, and against never using a server
+/// again whose entry does not lapse.
+#[rstest]
+fn a_removed_server_gets_no_work_after_a_restore(
+    #[values(8, 67)] hosts: usize,
+    #[values(true, false)] lapses: bool,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.remove("leaf/4-0");
+    fleet.run_until(fleet.now + 5000);
+    restore(&mut fleet, &copy);
+    for step in 0..36 {
+        fleet.run_until(fleet.now + 100);
+        for host in 0..hosts {
+            assert!(!fleet.may_use(host, "4-0"), "host {host} uses a removed server after {step} steps");
+        }
+    }
+    if lapses {
+        fleet.remove("leaf/4-0");
+    }
+    fleet.run_until(fleet.now + 4000);
+    for host in 0..hosts {
+        assert_eq!(fleet.may_use(host, "4-0"), !lapses, "host {host}");
+    }
+}
+
+/// Guards against treating a server that registers for the first time right after a restore as removed.
+#[rstest]
+fn a_new_server_is_used_right_after_a_restore(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.put("config", "2 20");
+    fleet.run_until(fleet.now + 2000);
+    restore(&mut fleet, &copy);
+    fleet.put("leaf/4-new", "s4 dc-1 ready");
+    fleet.run_until(fleet.now + 3000);
+    assert!((0..hosts).all(|host| fleet.may_use(host, "4-new")));
+}
+
+/// Guards against using an evacuated data centre after a restore before operators evacuate it again, and against an
+/// evacuation that never ends although operators do not write it again.
+#[rstest]
+fn an_evacuation_outlasts_a_restore(
+    #[values(8, 67)] hosts: usize,
+    #[values(true, false)] is_written_again: bool,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut fleet = started(hosts, 4, seed);
+    let copy = fleet.copy();
+    fleet.put("evacuate/dc-1", "");
+    fleet.run_until(fleet.now + 3000);
+    restore(&mut fleet, &copy);
+    for step in 0..30 {
+        fleet.run_until(fleet.now + 100);
+        for host in 0..hosts {
+            assert!(!fleet.may_use(host, "1-0"), "host {host} uses an evacuated data centre after {step} steps");
+        }
+    }
+    if is_written_again {
+        fleet.put("evacuate/dc-1", "");
+    }
+    fleet.run_until(fleet.now + 4000);
+    for host in 0..hosts {
+        assert_eq!(fleet.may_use(host, "1-0"), !is_written_again, "host {host}");
+    }
+}
+
 /// Guards against hosts that read a restored registry repeatedly without a pause.
 #[rstest]
 fn a_restore_costs_few_reads(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -359,6 +359,10 @@
         note::Note::Outdated { kind, stamp, in_force } => {
             tracing::warn!(%kind, %stamp, %in_force, "the registry has an older document; the one in force stays");
         }
+        note::Note::RestoreOverridden { removed, evacuated } => {
+            let (removed, evacuated) = (removed.join(","), evacuated.join(","));
+            tracing::warn!(removed, evacuated, "temporarily overriding outdated contents of the restored registry");
+        }
         note::Note::FromPeer { from, stamp } => {
             tracing::info!(peer = %from, stamp = %stamp, "took a catalog of a peer")
         }
