Call the saved state of a registry a backup

`Copy` in the stand-in registry and in the test registry shadowed the trait of the standard library, and `copy` means a host's own copy of the registry elsewhere. No behaviour changes.

--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -144,7 +144,7 @@
 
 /// A backup of the registry.
 #[derive(Clone)]
-pub struct Copy {
+pub struct Backup {
     items: IndexMap<CompactString, (Arc<str>, u64)>,
     revision: u64,
 }
@@ -310,17 +310,17 @@
     }
 
     /// Takes a backup of the registry.
-    pub fn copy(&self) -> Copy {
-        Copy { items: self.store.items.clone(), revision: self.store.revision }
+    pub fn backup(&self) -> Backup {
+        Backup { items: self.store.items.clone(), revision: self.store.revision }
     }
 
-    /// Restores the registry from `copy`: later writes are lost, their revisions are reused, and waiting watches are
+    /// Restores the registry from `backup`: later writes are lost, their revisions are reused, and waiting watches are
     /// cut.
-    pub fn restore(&mut self, copy: &Copy) {
-        self.store.items = copy.items.clone();
-        self.store.revision = copy.revision;
-        self.store.forgotten = self.store.forgotten.min(copy.revision);
-        self.store.log.retain(|event| revision(event) <= copy.revision);
+    pub fn restore(&mut self, backup: &Backup) {
+        self.store.items = backup.items.clone();
+        self.store.revision = backup.revision;
+        self.store.forgotten = self.store.forgotten.min(backup.revision);
+        self.store.log.retain(|event| revision(event) <= backup.revision);
         self.store.era += 1;
         self.cut_watches();
     }
--- a/crates/core/tests/registry/restored.rs
+++ b/crates/core/tests/registry/restored.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 use super::{
-    fleet::{Copy, Fleet},
+    fleet::{Backup, Fleet},
     server_names, started,
 };
 
@@ -13,12 +13,12 @@
 /// Length of the outage before a restore, in ms.
 const AWAY: u64 = 1500;
 
-/// Takes the registry down for [`AWAY`] and restores it from `copy`.
-fn restore(fleet: &mut Fleet, copy: &Copy) {
+/// Takes the registry down for [`AWAY`] and restores it from `backup`.
+fn restore(fleet: &mut Fleet, backup: &Backup) {
     fleet.store.away = true;
     fleet.cut_watches();
     fleet.run_until(fleet.now + AWAY);
-    fleet.restore(copy);
+    fleet.restore(backup);
     fleet.store.away = false;
 }
 
@@ -49,7 +49,7 @@
     #[values(1, 2, 3)] seed: u64,
 ) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.put("config", "2 20");
     fleet.run_until(fleet.now + 2000);
     for leaf in 0..10 {
@@ -57,7 +57,7 @@
     }
     fleet.run_until(fleet.now + 1000);
     assert_eq!(fleet.have(2), hosts);
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     for beat in 0..written_since {
         fleet.put("leaf/5-1", &format!("s5 dc-2 ready {beat}"));
     }
@@ -72,10 +72,10 @@
 #[rstest]
 fn a_lost_configuration_stays_in_force(#[values(8, 67)] hosts: usize, #[values(1, 2, 3)] seed: u64) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.put("config", "2 20");
     fleet.run_until(fleet.now + 3000);
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     fleet.restart(5, 500);
     fleet.hosts[5].views.clear();
     let until = fleet.now + 4000;
@@ -95,12 +95,12 @@
 #[rstest]
 fn servers_outlast_a_restore(#[values(8, 67)] hosts: usize, #[values(1, 2, 3)] seed: u64) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.put("leaf/3-new", "s3 dc-1 ready");
     fleet.put("leaf/4-0", "s4 dc-0 leaving");
     fleet.run_until(fleet.now + 2000);
     assert!((0..hosts).all(|host| fleet.may_use(host, "3-new") && !fleet.may_use(host, "4-0")));
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     for step in 0..90 {
         if step == 18 {
             fleet.put("leaf/3-new", "s3 dc-1 ready");
@@ -122,10 +122,10 @@
     #[values(1, 2)] seed: u64,
 ) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.remove("leaf/4-0");
     fleet.run_until(fleet.now + 5000);
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     for step in 0..36 {
         fleet.run_until(fleet.now + 100);
         for host in 0..hosts {
@@ -145,10 +145,10 @@
 #[rstest]
 fn a_new_server_is_used_right_after_a_restore(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.put("config", "2 20");
     fleet.run_until(fleet.now + 2000);
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     fleet.put("leaf/4-new", "s4 dc-1 ready");
     fleet.run_until(fleet.now + 3000);
     assert!((0..hosts).all(|host| fleet.may_use(host, "4-new")));
@@ -163,10 +163,10 @@
     #[values(1, 2)] seed: u64,
 ) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.put("evacuate/dc-1", "");
     fleet.run_until(fleet.now + 3000);
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     for step in 0..30 {
         fleet.run_until(fleet.now + 100);
         for host in 0..hosts {
@@ -186,11 +186,11 @@
 #[rstest]
 fn a_restore_costs_few_reads(#[values(8, 67)] hosts: usize, #[values(1, 2)] seed: u64) {
     let mut fleet = started(hosts, 4, seed);
-    let copy = fleet.copy();
+    let backup = fleet.backup();
     fleet.put("config", "2 20");
     fleet.run_until(fleet.now + 2000);
     let reads = fleet.store.reads;
-    restore(&mut fleet, &copy);
+    restore(&mut fleet, &backup);
     fleet.run_until(fleet.now + 4000);
     let reads = fleet.store.reads - reads;
     assert!(reads <= 3 * hosts as u64, "{reads} whole reads");
@@ -234,7 +234,7 @@
     let mut random = rngs::SmallRng::seed_from_u64(seed);
     let mut fleet = started(hosts, 3, seed);
     let mut number = 1;
-    let mut copy = fleet.copy();
+    let mut backup = fleet.backup();
     for _ in 0..40 {
         let until = fleet.now + random.random_range(1..800);
         run_until(&mut fleet, until);
@@ -247,10 +247,10 @@
             3..5 => fleet.put(&key, &format!("s{} dc-0 ready", &key[5..6])),
             5 => fleet.remove(&key),
             6 => fleet.store.away = !fleet.store.away,
-            7 => copy = fleet.copy(),
+            7 => backup = fleet.backup(),
             8 if has_restores => {
-                restore(&mut fleet, &copy);
-                copy = fleet.copy();
+                restore(&mut fleet, &backup);
+                backup = fleet.backup();
                 let until = fleet.now + random.random_range(1..1500);
                 run_until(&mut fleet, until);
                 fleet.put("config", &format!("{number} 20"));
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -48,7 +48,7 @@
 
 /// A backup of a store.
 #[derive(Clone, Debug)]
-pub struct Copy {
+pub struct Backup {
     items: IndexMap<CompactString, mirror::Item>,
     revision: u64,
 }
@@ -134,18 +134,18 @@
     }
 
     /// Takes a backup of the store.
-    pub fn copy(&self) -> Copy {
+    pub fn backup(&self) -> Backup {
         let state = self.lock();
-        Copy { items: state.items.clone(), revision: state.revision }
+        Backup { items: state.items.clone(), revision: state.revision }
     }
 
-    /// Restores the store from `copy`: later writes are lost, and their revisions are reused.
-    pub fn restore(&self, copy: Copy) {
+    /// Restores the store from `backup`: later writes are lost, and their revisions are reused.
+    pub fn restore(&self, backup: Backup) {
         let mut state = self.lock();
-        state.items = copy.items;
-        state.revision = copy.revision;
-        state.forgotten = state.forgotten.min(copy.revision);
-        state.log.retain(|event| revision(event) <= copy.revision);
+        state.items = backup.items;
+        state.revision = backup.revision;
+        state.forgotten = state.forgotten.min(backup.revision);
+        state.log.retain(|event| revision(event) <= backup.revision);
         state.era += 1;
         drop(state);
         self.changed.notify_waiters();
--- a/tests/platform/operators.rs
+++ b/tests/platform/operators.rs
@@ -76,7 +76,7 @@
     const IN_FORCE: time::Duration = time::Duration::from_secs(3);
     let mut deployment = started("restored", 2).await;
     let mut clients: Vec<Client> = (0..2).map(|node| client(&deployment, node)).collect();
-    let copy = deployment.registry.copy();
+    let backup = deployment.registry.backup();
     deployment.configure(2, &deployment::shards(0, 3));
     for client in &mut clients {
         let mut round = 0;
@@ -88,7 +88,7 @@
     }
     deployment.registry.set(registry::Mode::Away);
     tokio::time::sleep(LOOK * 10).await;
-    deployment.registry.restore(copy);
+    deployment.registry.restore(backup);
     deployment.registry.set(registry::Mode::Proper);
     let restored_at = time::Instant::now();
     let mut round = 0;
