--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -354,7 +354,7 @@
             tracing::warn!(%at, %read_at, "dropped a whole read of the registry older than the known revision");
         }
         note::Note::Restored { at, era } => {
-            tracing::warn!(%at, era, "the registry was restored from a copy; reading it whole");
+            tracing::warn!(%at, era, "the registry was restored from a backup; reading it whole");
         }
         note::Note::Outdated { kind, stamp, in_force } => {
             tracing::warn!(%kind, %stamp, %in_force, "the registry has an older document; the one in force stays");
