--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -67,11 +67,13 @@
     pub work_ms: u64,
     /// It dies of requests whose path holds this.
     pub dies_of: Option<&'static str>,
+    /// Id to use instead of the replica's own, to simulate a restart at the same address.
+    pub new_id: Option<&'static str>,
 }
 
 impl Default for Knobs {
     fn default() -> Self {
-        Self { manner: Manner::Proper, one_in: 1, work_ms: 2, dies_of: None }
+        Self { manner: Manner::Proper, one_in: 1, work_ms: 2, dies_of: None, new_id: None }
     }
 }
 
@@ -233,6 +235,11 @@
         }
     }
 
+    fn current_id(&self) -> CompactString {
+        let new_id = lock(&self.knobs).new_id;
+        new_id.map_or_else(|| self.id.clone(), CompactString::from)
+    }
+
     /// Answers a request; whether the connection goes on.
     async fn answer(&self, stream: &mut net::TcpStream, asked: &Asked, manner: Manner) -> Option<bool> {
         lock(&self.ledger).last = Some(time::Instant::now());
@@ -241,7 +248,7 @@
             return Some(true);
         }
         let request = &asked.told.request;
-        if asked.told.instance.as_ref().is_some_and(|instance| *instance != self.id) {
+        if asked.told.instance.as_ref().is_some_and(|instance| *instance != self.current_id()) {
             lock(&self.ledger).misdirected += 1;
             return self.refuse(stream, request, 421).await;
         }
@@ -307,7 +314,7 @@
             whole(&self.service, &request).into_bytes()
         };
         let body = if asked.method == "HEAD" { Vec::new() } else { body };
-        let signature = signature(&self.id, &request, &self.service);
+        let signature = signature(&self.current_id(), &request, &self.service);
         let headers = opposite::answer_headers(&request, Some(&signature), self.load());
         let length = if manner == Manner::Unframed { None } else { Some(body.len()) };
         let mut bytes = head(status, &headers, length);
