Move registry entry and store tests into their own modules

The store restore test moves from tests/platform/operators.rs to join the other store test. The tests themselves are unchanged.

--- a/crates/core/tests/registry/restored.rs
+++ b/crates/core/tests/registry/restored.rs
@@ -4,8 +4,9 @@
 use rstest::rstest;
 
 use super::{
+    entries::server_names,
     fleet::{Backup, Fleet},
-    server_names, started,
+    started,
 };
 
 /// Longest time until a change is in force on all hosts, in ms.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 use shallothub_standin::{registry, replica};
 
 mod operators;
+mod store;
 
 const SIZE: Size = Size { nodes: 0, shards: 4, replicas: 2, is_wide: false };
 /// Searches in which a changed address must have been used.
@@ -198,31 +199,6 @@
     panic!("the address in force was never asked");
 }
 
-/// Guards against reusing a leaf's parsed entry after it restarts under a new id at its address during a store outage.
-#[tokio::test(flavor = "multi_thread")]
-async fn leafs_restarted_at_their_addresses_are_used_under_their_new_names() {
-    let mut deployment = started("renamed", 2).await;
-    deployment.registry.set(registry::Mode::Away);
-    let leafs = deployment.leafs.iter_mut().filter(|leaf| leaf.entry.service == "shard0");
-    for (leaf, id) in leafs.zip(["i-new-0", "i-new-1"]) {
-        deployment.registry.unregister(&leaf.entry);
-        leaf.replica.set(|knobs| knobs.new_id = Some(id));
-        leaf.entry.name = id.into();
-        deployment.registry.register(&leaf.entry);
-    }
-    tokio::time::sleep(LOOK * 10).await;
-    deployment.registry.set(registry::Mode::Proper);
-    for node in 0..2 {
-        let mut client = client(&deployment, node);
-        let mut round = 0;
-        while served(&client.ask(Kind::Gather, &format!("g{node}-{round}")).await) != 4 {
-            round += 1;
-            assert!(round < MOVED_MOST, "node {node}: results still incomplete after {round} searches");
-            tokio::time::sleep(LOOK).await;
-        }
-    }
-}
-
 /// A node starts while the store is away: it learns from the node that runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_learns_from_another_while_the_store_is_away() {
--- a/tests/platform/operators.rs
+++ b/tests/platform/operators.rs
@@ -7,7 +7,6 @@
     client::{Client, End, Kind},
     deployment::{self, Deployment, Size},
 };
-use shallothub_standin::registry;
 
 use super::{LOOK, MOVED_MOST, SETTLE, SIZE, client, head, raw, served, started};
 
@@ -69,52 +68,6 @@
     }
 }
 
-/// Guards against nodes that go back to the older configuration in a restored store, or that miss what is written after
-/// the restore, with real processes and the store's era header.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_restored_store_takes_no_configuration_back() {
-    const IN_FORCE: time::Duration = time::Duration::from_secs(3);
-    let mut deployment = started("restored", 2).await;
-    let mut clients: Vec<Client> = (0..2).map(|node| client(&deployment, node)).collect();
-    let backup = deployment.registry.backup();
-    deployment.configure(2, &deployment::shards(0, 3));
-    for client in &mut clients {
-        let mut round = 0;
-        while served(&client.ask(Kind::Gather, &format!("second-{round}")).await) != 3 {
-            round += 1;
-            assert!(round < MOVED_MOST, "the second configuration is not in force");
-            tokio::time::sleep(LOOK).await;
-        }
-    }
-    deployment.registry.set(registry::Mode::Away);
-    tokio::time::sleep(LOOK * 10).await;
-    deployment.registry.restore(backup);
-    deployment.registry.set(registry::Mode::Proper);
-    let restored_at = time::Instant::now();
-    let mut round = 0;
-    while restored_at.elapsed() < IN_FORCE {
-        for client in &mut clients {
-            round += 1;
-            let end = client.ask(Kind::Gather, &format!("restored-{round}")).await;
-            assert_eq!(served(&end), 3, "after {:?}: {end:?}", restored_at.elapsed());
-        }
-        tokio::time::sleep(LOOK).await;
-    }
-    deployment.configure(3, &deployment::shards(0, 2));
-    let written_at = time::Instant::now();
-    for client in &mut clients {
-        loop {
-            round += 1;
-            let end = client.ask(Kind::Gather, &format!("third-{round}")).await;
-            if served(&end) == 2 {
-                break;
-            }
-            assert!(written_at.elapsed() < IN_FORCE, "the third configuration is not in force: {end:?}");
-            tokio::time::sleep(LOOK).await;
-        }
-    }
-}
-
 /// All leafs of the shards say that they warm up, and bear few requests a second until then. Three nodes get searches
 /// as fast as they answer; the leafs get no more than they bear, whatever the nodes do with the rest. Once they are
 /// warm, searches are whole again.
--- /dev/null
+++ b/tests/platform/store.rs
@@ -0,0 +1,82 @@
+//! Store outages during which leafs restart or the store is restored from a backup.
+
+use std::time;
+
+use shallothub_soak::{
+    client::{Client, Kind},
+    deployment,
+};
+use shallothub_standin::registry;
+
+use super::{LOOK, MOVED_MOST, client, served, started};
+
+/// Guards against reusing a leaf's parsed entry after it restarts under a new id at its address during a store outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn leafs_restarted_at_their_addresses_are_used_under_their_new_names() {
+    let mut deployment = started("renamed", 2).await;
+    deployment.registry.set(registry::Mode::Away);
+    let leafs = deployment.leafs.iter_mut().filter(|leaf| leaf.entry.service == "shard0");
+    for (leaf, id) in leafs.zip(["i-new-0", "i-new-1"]) {
+        deployment.registry.unregister(&leaf.entry);
+        leaf.replica.set(|knobs| knobs.new_id = Some(id));
+        leaf.entry.name = id.into();
+        deployment.registry.register(&leaf.entry);
+    }
+    tokio::time::sleep(LOOK * 10).await;
+    deployment.registry.set(registry::Mode::Proper);
+    for node in 0..2 {
+        let mut client = client(&deployment, node);
+        let mut round = 0;
+        while served(&client.ask(Kind::Gather, &format!("g{node}-{round}")).await) != 4 {
+            round += 1;
+            assert!(round < MOVED_MOST, "node {node}: results still incomplete after {round} searches");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+/// Guards against nodes that go back to the older configuration in a restored store, or that miss what is written after
+/// the restore, with real processes and the store's era header.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restored_store_takes_no_configuration_back() {
+    const IN_FORCE: time::Duration = time::Duration::from_secs(3);
+    let mut deployment = started("restored", 2).await;
+    let mut clients: Vec<Client> = (0..2).map(|node| client(&deployment, node)).collect();
+    let backup = deployment.registry.backup();
+    deployment.configure(2, &deployment::shards(0, 3));
+    for client in &mut clients {
+        let mut round = 0;
+        while served(&client.ask(Kind::Gather, &format!("second-{round}")).await) != 3 {
+            round += 1;
+            assert!(round < MOVED_MOST, "the second configuration is not in force");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+    deployment.registry.set(registry::Mode::Away);
+    tokio::time::sleep(LOOK * 10).await;
+    deployment.registry.restore(backup);
+    deployment.registry.set(registry::Mode::Proper);
+    let restored_at = time::Instant::now();
+    let mut round = 0;
+    while restored_at.elapsed() < IN_FORCE {
+        for client in &mut clients {
+            round += 1;
+            let end = client.ask(Kind::Gather, &format!("restored-{round}")).await;
+            assert_eq!(served(&end), 3, "after {:?}: {end:?}", restored_at.elapsed());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    deployment.configure(3, &deployment::shards(0, 2));
+    let written_at = time::Instant::now();
+    for client in &mut clients {
+        loop {
+            round += 1;
+            let end = client.ask(Kind::Gather, &format!("third-{round}")).await;
+            if served(&end) == 2 {
+                break;
+            }
+            assert!(written_at.elapsed() < IN_FORCE, "the third configuration is not in force: {end:?}");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
