Define the standing of a backend server and its way to the lanes

The interface between the exchange of evidence among hosts and the choice of a replica, so that both can be built side by side. Nothing sets a standing yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod control;
+pub mod evidence;
 pub mod id;
 pub mod invariant;
 pub mod merge;
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, id, invariant, suspect, view};
+use crate::{clock, evidence, id, invariant, suspect, view};
 
 use super::{note, why};
 
@@ -28,6 +28,8 @@
     HangUp(id::Caller),
     /// The new policy for requests that may crash servers; replaces the previous one.
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
+    /// The new standings of backend servers that deviate from the usual; they replace all earlier ones.
+    Evidence(Arc<IndexMap<id::Server, evidence::Standing>>),
     /// A trial requested with [`Output::RequestTrial`] was granted.
     TrialGranted(suspect::Trial),
     /// The result of [`Output::Probe`].
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -38,7 +38,7 @@
 use indexmap::IndexMap;
 use rand::{SeedableRng, rngs};
 
-use crate::{clock, id, invariant, mutant, table, view};
+use crate::{clock, evidence, id, invariant, mutant, table, view};
 
 use event::{Input, Output};
 use timer::Timer;
@@ -83,6 +83,8 @@
     trials: IndexMap<crate::suspect::Fingerprint, id::Query>,
     fleet: fleet::Fleet,
     ejected: usize,
+    /// Standings of servers that other hosts report on; see [`crate::evidence`].
+    standings: Arc<IndexMap<id::Server, evidence::Standing>>,
     /// Set from a process pause until the control core confirms the view.
     paused_at: Option<clock::Millis>,
     /// Set from a process pause until the grace period ends or the control core confirms the view.
@@ -114,6 +116,7 @@
             trials: IndexMap::new(),
             fleet,
             ejected: 0,
+            standings: Arc::default(),
             paused_at: None,
             is_sending_paused: false,
             outputs: Vec::new(),
@@ -173,6 +176,11 @@
         in_view.filter(|(server, _)| server.is_replaced).count()
     }
 
+    /// The standing of a backend server; `None` if it does not deviate from the usual as far as hosts know.
+    pub fn standing(&self, server: id::Server) -> Option<&evidence::Standing> {
+        self.standings.get(&server)
+    }
+
     /// Whether `query` is still unanswered.
     pub fn is_live(&self, query: id::Query) -> bool {
         self.queries.get(query.0).is_some()
@@ -240,6 +248,7 @@
             Input::HangUp(caller) => self.on_hang_up(caller),
             Input::Revalidated => self.on_revalidated(),
             Input::Suspects(suspects) => self.on_suspects(suspects),
+            Input::Evidence(standings) => self.standings = standings,
             Input::TrialGranted(trial) => self.on_trial_granted(trial),
             Input::Probed { server, liveness } => self.on_probed(server, liveness),
             Input::Tick => {}
