--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -177,7 +177,7 @@
     }
 
     /// The standing of a backend server; `None` if it does not deviate from the usual as far as hosts know.
-    pub fn standing(&self, server: id::Server) -> Option<&evidence::Standing> {
+    pub fn server_standing(&self, server: id::Server) -> Option<&evidence::Standing> {
         self.standings.get(&server)
     }
 
