Exchange evidence about servers between hosts

Control cores send opinions that are new to a few random hosts, which send them on, within a rate of messages and bytes. Digests contain a digest of the servers with a standing, so that hosts that were partitioned or have just started get an update. Standings go to the lanes when they change. Nothing is sent or woken while no server deviates. Off unless `control.evidence` is set.

--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, invariant, plan, suspect, view};
+use crate::{catalog, clock, evidence, id, invariant, plan, suspect, view};
 
 use super::{message, mirror, note};
 
@@ -60,6 +60,8 @@
     TrialUnused(suspect::Trial),
     /// An operator cleared a suspected request on this host.
     Release(suspect::Fingerprint),
+    /// A lane reports results of attempts at backend servers that deviate from the usual or have a standing.
+    Observed(Vec<evidence::Sample>),
 }
 
 /// An action for the shell to perform.
@@ -118,6 +120,8 @@
     View(Arc<view::View>),
     /// The new standings of requests that may crash servers; they replace all earlier ones.
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
+    /// The new standings of backend servers that deviate from the usual; they replace all earlier ones.
+    Evidence(Arc<IndexMap<id::Server, evidence::Standing>>),
     /// The attempt that requested a trial with [`Input::RequestTrial`] may be sent.
     TrialGranted(suspect::Trial),
     /// The view was confirmed after [`Input::Revalidate`].
@@ -161,6 +165,16 @@
     pub held: u64,
     /// Of these, the ones that are known to crash servers.
     pub convicted: u64,
+    /// Opinions on backend servers that are held, of this host and of others, now.
+    pub opinions: u64,
+    /// Servers with a standing, now.
+    pub standings: u64,
+    /// Opinions of other hosts that were new.
+    pub evidence_merged: u64,
+    /// Updates with opinions sent to other hosts.
+    pub evidence_sent: u64,
+    /// Maximum size of these together, in bytes.
+    pub evidence_bytes: u64,
     /// Times that the set of evacuated data centres changed.
     pub evacuations: u64,
     /// Entries in the list of hosts in force, now.
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -39,9 +39,18 @@
 
 impl Core {
     pub(super) fn send(&mut self, to: CompactString, body: message::Body) {
+        let compress = self.members.packs(&to);
+        self.send_as(to, compress, body);
+    }
+
+    /// Sends a message whose content is hardly compressible.
+    pub(super) fn send_uncompressed(&mut self, to: CompactString, body: message::Body) {
+        self.send_as(to, false, body);
+    }
+
+    fn send_as(&mut self, to: CompactString, compress: bool, body: message::Body) {
         let from = self.identity.peer.clone();
         let message = message::Message { protocol: message::PROTOCOL, from, body };
-        let compress = self.members.packs(&to);
         self.outputs.push(Output::Send { to, compress, message });
     }
 
@@ -61,6 +70,7 @@
             known: self.members.count() as u32,
             members_digest: self.members_digest(bucket_count),
             suspects: self.suspects.table.digest(),
+            evidence: self.evidence_digest(),
             is_settled: self.standing == Standing::Settled,
             is_away: self.registry.held.is_registry_unreachable(),
             complete_to: self.complete_to,
@@ -336,6 +346,7 @@
             message::Body::Suspects(records) => self.on_suspects(&records),
             message::Body::AskTrial(trial) => self.on_trial_request(message.from, *trial),
             message::Body::GrantTrial(trial) => self.on_grant_trial(*trial),
+            message::Body::Evidence(update) => self.on_evidence(&update),
         }
     }
 
@@ -352,6 +363,7 @@
         if digest.suspects != self.suspects.table.digest() {
             self.send_suspects_to(from.clone());
         }
+        self.sync_evidence(&from, digest.evidence);
         if digest.echo.is_some() && !digest.members_digest.is_empty() {
             let own_digests = self.members_digest(digest.members_digest.len());
             self.members.set_differing(digest.members_digest != own_digests);
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, suspect, view};
+use crate::{catalog, clock, evidence, suspect, view};
 
 /// The protocol version, incremented when older nodes can no longer decode a message.
 pub const PROTOCOL: u16 = 1;
@@ -44,6 +44,8 @@
     AskTrial(Box<Trial>),
     /// Grants the trial requested by [`Body::AskTrial`].
     GrantTrial(Box<Trial>),
+    /// Opinions on backend servers that deviate from the usual.
+    Evidence(evidence::Update),
 }
 
 /// An attempt of a suspected request, with the sender's record of the request.
@@ -80,6 +82,9 @@
     /// Digest of the sender's records of requests that may crash servers; 0 if there are none, and from nodes that do
     /// not send it.
     pub suspects: u32,
+    /// Digest of the set of backend servers with a standing; 0, and not sent, if there are none.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub evidence: u32,
     /// Whether the sender's member list is likely to be complete.
     pub is_settled: bool,
     /// Whether the registry is unreachable for the sender.
@@ -88,6 +93,10 @@
     pub complete_to: u64,
 }
 
+fn is_zero(digest: &u32) -> bool {
+    *digest == 0
+}
+
 /// A record of an entry host in a digest.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -131,6 +131,15 @@
     TrialGranted(suspect::Trial),
     /// A suspected request was cleared, because a server answered it or an operator released it.
     Cleared(suspect::Fingerprint),
+    /// Servers got a standing or lost it since the last event of this kind.
+    ServerStandings {
+        /// Names of the servers that got one.
+        began: Vec<CompactString>,
+        /// Names of the servers that lost it.
+        ended: Vec<CompactString>,
+        /// Number of servers with a standing now.
+        standings: usize,
+    },
     /// An entry could not be parsed and is ignored.
     Unreadable(plan::Fault),
 }
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -111,6 +111,7 @@
             is_away: self.registry.held.is_registry_unreachable(),
             complete_to: self.complete_to,
             suspects: self.suspects.table.digest(),
+            evidence: self.evidence_digest(),
             ..message::Digest::default()
         }));
         self.send(to, body);
--- a/crates/core/src/control/views.rs
+++ b/crates/core/src/control/views.rs
@@ -72,7 +72,9 @@
         let is_used = |part: &&plan::Part| !matches!(part, plan::Part::Leaf(leaf) if overrides.is_removed(&leaf.name));
         let parts = self.replicas.iter().flat_map(|replica| replica.parsed.values()).map(|part| &**part);
         let parts = parts.filter(is_used).chain(iter::once(&evacuated));
-        let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
+        let mut view = plan::compile(stamps, parts, fleet, &mut self.servers);
+        self.set_evidence_servers(&mut view);
+        let view = Arc::new(view);
         self.log_evacuations(&view);
         self.stats.entries = self.replicas[catalog::Kind::Hosts.index()].current.manifest.parts.len() as u64;
         self.stats.servers = view.servers.iter().flatten().filter(|server| !server.is_peer).count() as u64;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::{clock, id, ratio, revision, route, traffic::warm_up};
+use crate::{clock, evidence, id, ratio, revision, route, traffic::warm_up};
 
 /// The identity of a configuration. Versions increase; if two documents are concurrently published under
 /// one version, the digest orders them the same way on every host.
@@ -276,6 +276,9 @@
     pub senders: IndexMap<id::Service, Vec<CompactString>>,
     /// Permitted excess of all hosts together over the rate of [`WarmUp`] in one second.
     pub tolerance: Tolerance,
+    /// How evidence about servers is exchanged between hosts; `None` if it is switched off or no shard has enough
+    /// replicas.
+    pub evidence: Option<evidence::Policy>,
 }
 
 /// Permitted excess of all hosts together over a limit in requests per second, in any one second.
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -458,6 +458,7 @@
             control::Output::View(view) => self.on_view(host, life, view),
             control::Output::Revalidated => self.traffic(host, [event::Input::Revalidated]),
             control::Output::Suspects(suspects) => self.traffic(host, [event::Input::Suspects(suspects)]),
+            control::Output::Evidence(standings) => self.traffic(host, [event::Input::Evidence(standings)]),
             control::Output::TrialGranted(trial) => self.traffic(host, [event::Input::TrialGranted(trial)]),
             control::Output::Refused { stamp, .. } => {
                 self.oracle.breach("accepted", format!("host {host} refused {stamp}"));
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -197,6 +197,7 @@
             control::Output::Breach(breach) => panic!("{breach:?}"),
             control::Output::Revalidated
             | control::Output::Suspects(_)
+            | control::Output::Evidence(_)
             | control::Output::TrialGranted(_)
             | control::Output::Note(_)
             | control::Output::Reconnect { .. } => {}
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -13,7 +13,7 @@
 use shallothub_core::{
     catalog, clock, control,
     control::{message, mirror, note},
-    plan, ratio, suspect, view,
+    evidence, id, plan, ratio, suspect, view,
 };
 
 /// How the control cores parse the registry.
@@ -100,8 +100,20 @@
 
 #[derive(Debug)]
 enum Event {
-    Step { host: usize, incarnation: u32 },
-    Input { host: usize, incarnation: u32, input: control::Input },
+    Step {
+        host: usize,
+        incarnation: u32,
+    },
+    /// A timer of the host is due that was set while it handled a message.
+    Wake {
+        host: usize,
+        incarnation: u32,
+    },
+    Input {
+        host: usize,
+        incarnation: u32,
+        input: control::Input,
+    },
 }
 
 struct Watch {
@@ -161,6 +173,11 @@
     pub notes: Vec<note::Note>,
     /// The latest standing of requests that may crash servers, as reported by the control core.
     pub suspects: Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>,
+    /// The latest standings of servers, as reported by the control core.
+    pub standings: Arc<IndexMap<id::Server, evidence::Standing>>,
+    /// Bytes and number of the messages with evidence about servers that it sent.
+    pub evidence_bytes: u64,
+    pub evidence_messages: u64,
     /// Trials granted to the host and not yet taken by the test.
     pub granted: Vec<suspect::Trial>,
     pub sent_bytes: u64,
@@ -172,6 +189,17 @@
     pub is_partitioned: bool,
 }
 
+/// Faults of the links between hosts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Links {
+    /// Fraction of messages that are lost.
+    pub loss: f64,
+    /// Fraction of messages that arrive twice.
+    pub duplication: f64,
+    /// Maximum additional delay, in ms.
+    pub delay: u64,
+}
+
 /// Timeout of a registry call beyond its wait, in ms, as in the node.
 const CALL_TIMEOUT: u64 = 1000;
 /// Timeout of a page of a full read, in ms.
@@ -195,6 +223,12 @@
     pub allows_refusals: bool,
     /// Time until which the connections from one host to another are stalled, in ms.
     stalled: IndexMap<(usize, usize), u64>,
+    /// Hosts with other settings than the rest.
+    policies: IndexMap<usize, control::Policy>,
+    /// Faults of all links between hosts.
+    pub links: Links,
+    /// Whether the hosts below this index and the others cannot reach each other.
+    pub split: Option<usize>,
     /// Size of a message on the wire, in bytes; the flag states whether it may be packed.
     message_size: fn(&message::Message, bool) -> usize,
 }
@@ -240,6 +274,9 @@
             random: rngs::SmallRng::seed_from_u64(seed),
             allows_refusals: false,
             stalled: IndexMap::new(),
+            policies: IndexMap::new(),
+            links: Links::default(),
+            split: None,
             message_size: |_, _| 0,
         };
         for host in 0..hosts {
@@ -251,6 +288,9 @@
                 views: Vec::new(),
                 notes: Vec::new(),
                 suspects: Arc::default(),
+                standings: Arc::default(),
+                evidence_bytes: 0,
+                evidence_messages: 0,
                 granted: Vec::new(),
                 sent_bytes: 0,
                 remote_bytes: 0,
@@ -267,7 +307,14 @@
         self
     }
 
+    /// Starts `host` again with other settings than the rest.
+    pub fn restart_with(&mut self, host: usize, policy: &control::Policy) {
+        self.policies.insert(host, policy.clone());
+        self.restart(host, 1);
+    }
+
     fn new_core(&mut self, host: usize) -> control::Core {
+        let policy = self.policies.get(&host).unwrap_or(&self.policy).clone();
         let identity = control::Identity {
             name: format_compact!("host-{host}"),
             data_centre: format_compact!("dc-{}", host % self.data_centres),
@@ -277,7 +324,7 @@
             regions: Default::default(),
             power: 250,
         };
-        control::Core::new(self.policy.clone(), identity, READER, self.random.random(), clock::Millis(self.now))
+        control::Core::new(policy, identity, READER, self.random.random(), clock::Millis(self.now))
     }
 
     fn schedule(&mut self, at: u64, event: Event) {
@@ -366,6 +413,7 @@
         state.core = core;
         state.views.clear();
         state.suspects = Arc::default();
+        state.standings = Arc::default();
         state.granted.clear();
         let incarnation = state.incarnation;
         self.watches.retain(|watch| watch.host != host);
@@ -384,6 +432,7 @@
     /// Passes an input to the control core of a host.
     pub fn deliver(&mut self, host: usize, input: control::Input) {
         self.step(host, input);
+        self.schedule_wake(host, self.hosts[host].incarnation);
     }
 
     /// Notifies a host that its process is shutting down.
@@ -408,6 +457,10 @@
                 }
                 Some(Event::Input { host, incarnation, input }) if self.hosts[host].incarnation == incarnation => {
                     self.step(host, input);
+                    self.schedule_wake(host, incarnation);
+                }
+                Some(Event::Wake { host, incarnation }) if self.hosts[host].incarnation == incarnation => {
+                    self.step(host, control::Input::Tick);
                 }
                 _ => {}
             }
@@ -416,6 +469,15 @@
         self.now = until;
     }
 
+    /// Steps a host at its next timer, as a node does. Only for fleets that exchange evidence; the other tests step a
+    /// host at least every 250 ms.
+    fn schedule_wake(&mut self, host: usize, incarnation: u32) {
+        let next = self.hosts[host].core.next_timer().0;
+        if self.policy.evidence.is_some() && next < self.now + 250 {
+            self.schedule(next.max(self.now + 1), Event::Wake { host, incarnation });
+        }
+    }
+
     fn step(&mut self, host: usize, input: control::Input) {
         if !self.hosts[host].is_up {
             return;
@@ -459,6 +521,7 @@
             control::Output::Note(note) => self.hosts[host].notes.push(note),
             control::Output::Suspects(suspects) => self.hosts[host].suspects = suspects,
             control::Output::TrialGranted(trial) => self.hosts[host].granted.push(trial),
+            control::Output::Evidence(standings) => self.hosts[host].standings = standings,
             control::Output::Revalidated => {}
             other => panic!("unexpected output with a registry: {other:?}"),
         }
@@ -528,6 +591,10 @@
     fn send(&mut self, from: usize, to: &str, packs: bool, message: message::Message) {
         let bytes = (self.message_size)(&message, packs) as u64;
         self.hosts[from].sent_bytes += bytes;
+        if matches!(message.body, message::Body::Evidence(_)) {
+            self.hosts[from].evidence_bytes += bytes;
+            self.hosts[from].evidence_messages += 1;
+        }
         let Some(host) = host_at(to).filter(|&host| host < self.hosts.len()) else {
             return;
         };
@@ -540,8 +607,19 @@
         if self.stalled.get(&(from, host)).is_some_and(|&until| until > self.now) {
             return;
         }
+        if self.split.is_some_and(|split| (from < split) != (host < split)) {
+            return;
+        }
         let incarnation = self.hosts[host].incarnation;
-        let after = self.random.random_range(1..4);
+        if self.links.loss > 0.0 && self.random.random_bool(self.links.loss) {
+            return;
+        }
+        if self.links.duplication > 0.0 && self.random.random_bool(self.links.duplication) {
+            let after = self.random.random_range(1..4 + self.links.delay);
+            let input = control::Input::Peer(message.clone());
+            self.schedule(self.now + after, Event::Input { host, incarnation, input });
+        }
+        let after = self.random.random_range(1..4 + self.links.delay);
         self.schedule(self.now + after, Event::Input { host, incarnation, input: control::Input::Peer(message) });
     }
 
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod entries;
 mod evacuation;
+mod evidence;
 #[expect(unreachable_pub, reason = "a module of this test alone")]
 mod fleet;
 mod restored;
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use compact_str::CompactString;
-use shallothub_core::{clock, plan};
+use shallothub_core::{clock, evidence, plan};
 use shallothub_node::{run as node_run, shared};
 use snafu::ResultExt;
 
@@ -310,12 +310,25 @@
         };
         println!("  request {fingerprint}: {standing}; lost with {}", suspect.servers.join(", "));
     }
+    for summary in &status.standings {
+        println!("  server {}: {}", summary.server, describe(&summary.standing, summary.observers));
+    }
     println!("  watches the platform: {}; calls so far: {}", status.watcher, status.control.platform_calls);
     for fault in &status.refused {
         println!("  refused: {fault}");
     }
 }
 
+/// Describes how a server deviates from the usual.
+fn describe(standing: &evidence::Standing, observers: usize) -> String {
+    let silent = if standing.is_silent { ", does not reply" } else { "" };
+    let role = if standing.may_try { "; this host tries it" } else { "" };
+    format!(
+        "rejects {:.2}, fails {:.2}, {:.1} times the usual reply time{silent}; {observers} observers{role}",
+        standing.rejection, standing.failure, standing.slowness
+    )
+}
+
 async fn run_load(matches: &ArgMatches) -> Result<(), error::Error> {
     let rate: f64 = matches.get_one("rate").copied().unwrap_or(1.0);
     if !(rate > 0.0 && rate <= 1_000_000.0) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -21,6 +21,8 @@
 const PUBLISH_INTERVAL: clock::Millis = clock::Millis(1000);
 /// Maximum number of hosts named in a log line about several hosts.
 const MAX_LOGGED_HOSTS: usize = 8;
+/// Maximum number of servers named in a log line about several servers.
+const MAX_LOGGED_SERVERS: usize = 8;
 /// Maximum number of faults of a refused document that are logged and included in the status.
 const MAX_REPORTED_FAULTS: usize = 20;
 
@@ -89,7 +91,7 @@
             let now = self.shared.clock.now();
             let wait = match self.shared.interface.registry {
                 Some(_) => self.core.next_timer().since(now).clamp(clock::Millis(1), PUBLISH_INTERVAL),
-                None => TICK,
+                None => self.core.evidence_timer().since(now).clamp(clock::Millis(1), TICK),
             };
             tokio::select! {
                 message = messages.recv() => {
@@ -171,6 +173,11 @@
                     lane.send(shared::ToLane::Suspects(Arc::clone(&suspects))).ok();
                 }
             }
+            control::Output::Evidence(standings) => {
+                for lane in &self.shared.lanes {
+                    lane.send(shared::ToLane::Evidence(Arc::clone(&standings))).ok();
+                }
+            }
             control::Output::TrialGranted(trial) => {
                 for lane in &self.shared.lanes {
                     lane.send(shared::ToLane::TrialGranted(trial)).ok();
@@ -314,6 +321,7 @@
             members: self.core.members().map(|(name, state)| (name.clone(), state)).collect(),
             classes: classes.unwrap_or_default(),
             suspects: self.core.suspects(),
+            standings: self.core.server_standings(),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
@@ -408,6 +416,17 @@
             tracing::warn!(%fingerprint, attempt = trial.attempt, "granted a trial of a suspected request");
         }
         note::Note::Cleared(fingerprint) => tracing::info!(%fingerprint, "cleared a suspected request"),
+        note::Note::ServerStandings { began, ended, standings } => {
+            let listed = |names: &[CompactString]| names[..names.len().min(MAX_LOGGED_SERVERS)].join(",");
+            tracing::info!(
+                began = listed(began),
+                began_count = began.len(),
+                ended = listed(ended),
+                ended_count = ended.len(),
+                standings,
+                "the standing of servers changed"
+            );
+        }
         note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "ignored an entry that cannot be parsed"),
     }
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -64,6 +64,7 @@
         match message {
             shared::ToLane::View(view) => shell.step([traffic::event::Input::View(view)]),
             shared::ToLane::Suspects(suspects) => shell.step([traffic::event::Input::Suspects(suspects)]),
+            shared::ToLane::Evidence(standings) => shell.step([traffic::event::Input::Evidence(standings)]),
             shared::ToLane::TrialGranted(trial) => shell.step([traffic::event::Input::TrialGranted(trial)]),
             shared::ToLane::Revalidated => shell.step([traffic::event::Input::Revalidated]),
             shared::ToLane::Explain(query, reply) => {
