Report servers that deviate from the lanes to control

Lanes count the result of every attempt by server incarnation, and report those that deviate from the usual or have a standing, at most once an interval.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -268,6 +268,7 @@
                 event::Output::Trim { .. }
                 | event::Output::Revalidate
                 | event::Output::Crashed(_)
+                | event::Output::Observed(_)
                 | event::Output::RequestTrial(_)
                 | event::Output::TrialUnused(_)
                 | event::Output::Probe { .. }
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -205,6 +205,8 @@
         /// Its address, `IP:PORT`.
         address: CompactString,
     },
+    /// Report results of attempts at servers that deviate from the usual or have a standing.
+    Observed(Vec<evidence::Sample>),
     /// Log and count the violation of an invariant.
     Breach(invariant::Breach),
     /// Log a decision.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{clock, id, view};
+use crate::{clock, evidence, id, view};
 
 use super::{event, note, query, server, timer::Timer};
 
@@ -46,6 +46,7 @@
         if self.servers[attempt.server.index()].was_ejected() {
             self.log(note::Note::Restored { server: self.server_name(attempt.server) });
         }
+        self.observe(attempt.server, evidence::Attempt::Answered { ratio: self.ratio(&attempt) });
         let median = self.classes[attempt.class].median_attempt_time(attempt.is_relay);
         let state = &mut self.servers[attempt.server.index()];
         state.on_answer(self.now, took, median, &answer);
@@ -112,6 +113,7 @@
         let Some(attempt) = self.attempts.remove(id.0) else {
             return;
         };
+        self.observe(attempt.server, evidence::Attempt::Cancelled { sent: attempt.sent, ratio: self.ratio(&attempt) });
         let took = self.now.since(attempt.sent);
         let median = self.classes[attempt.class].median_attempt_time(attempt.is_relay);
         self.servers[attempt.server.index()].on_cancel(self.now, took, median);
@@ -140,6 +142,7 @@
             self.finish_unanswered(attempt.query, event::Code::ServerFailed, None);
             return;
         }
+        self.observe(attempt.server, evidence::Attempt::Failed);
         self.record_failure(attempt.server);
         self.release(attempt.server);
         self.retry(attempt.query, attempt.shard_index, false, false);
@@ -161,6 +164,7 @@
     fn on_refused(&mut self, attempt: query::Attempt, retry_after: Option<clock::Millis>) {
         self.stats.refused += 1;
         self.log_failed(attempt, event::Reply::Refused { retry_after });
+        self.observe(attempt.server, evidence::Attempt::Refused);
         self.servers[attempt.server.index()].on_shed(self.now, retry_after);
         self.release(attempt.server);
         self.retry(attempt.query, attempt.shard_index, true, false);
@@ -180,6 +184,7 @@
         self.log_failed(attempt, event::Reply::NotSent);
         self.on_server_gone(attempt.server);
         self.refund(attempt);
+        self.observe(attempt.server, evidence::Attempt::Failed);
         self.record_failure(attempt.server);
         self.release(attempt.server);
         self.retry(attempt.query, attempt.shard_index, true, true);
@@ -212,6 +217,7 @@
         if let Some(query) = self.queries.get_mut(attempt.query.0) {
             query.may_have_run = true;
         }
+        self.observe(attempt.server, evidence::Attempt::Failed);
         self.record_failure(attempt.server);
         self.release(attempt.server);
         self.retry(attempt.query, attempt.shard_index, false, false);
--- a/crates/core/src/traffic/hedge.rs
+++ b/crates/core/src/traffic/hedge.rs
@@ -88,6 +88,7 @@
         let Some(row) = self.queries.get(query.0) else {
             return;
         };
+        let class = row.class;
         let live = row.shards[shard_index as usize].live.iter().flatten().next();
         let Some(server) = live.and_then(|attempt| self.attempts.get(attempt.0)).map(|attempt| attempt.server) else {
             return;
@@ -97,6 +98,7 @@
         let pause = self.servers[server.index()].mark_silent(self.now, pause);
         if let Some(pause) = pause {
             let silent_for = self.now.since(sent);
+            self.observe_wait(server, class, sent);
             self.log(note::Note::Silent { server: self.server_name(server), silent_for, pause });
         }
     }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! Each system has its own module: `admit` (limits and refusals), `choose` (replica selection),
 //! `dispatch` (sending, per-server queues, retries), [`warm_up`] (servers that have just started),
-//! `suspect` (requests that crash servers), `hedge` (silent attempts) and `gather` (snapshots,
-//! coverage, answers).
+//! `suspect` (requests that crash servers), `hedge` (silent attempts), `gather` (snapshots, coverage,
+//! answers) and `observe` (reports on servers that deviate from the usual).
 
 mod admit;
 mod capacity;
@@ -22,6 +22,7 @@
 mod hedge;
 mod key;
 pub mod note;
+mod observe;
 pub mod policy;
 mod query;
 mod relay;
@@ -85,6 +86,7 @@
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
+    observations: observe::Observations,
     /// Set from a process pause until the control core confirms the view.
     paused_at: Option<clock::Millis>,
     /// Set from a process pause until the grace period ends or the control core confirms the view.
@@ -117,6 +119,7 @@
             fleet,
             ejected: 0,
             standings: Arc::default(),
+            observations: observe::Observations::default(),
             paused_at: None,
             is_sending_paused: false,
             outputs: Vec::new(),
@@ -236,6 +239,7 @@
                 Timer::Probe(server) => self.send_probe(server),
                 Timer::ProbeTimeout(server) => self.on_probe_timeout(server),
                 Timer::Resume => self.resume(),
+                Timer::Report => self.report_observations(),
             }
         }
     }
@@ -263,6 +267,7 @@
             return;
         }
         self.clear_replaced(&view);
+        self.observations.set_view(&view);
         self.view = view;
         let equal_share = 1.0 / f64::from(self.view.hosts.max(1));
         self.fleet.set_limit_shares(self.now, equal_share, &self.view.limit_shares, self.lane.count.max(1));
--- a/crates/core/src/traffic/summary.rs
+++ b/crates/core/src/traffic/summary.rs
@@ -50,6 +50,8 @@
     pub pauses: u64,
     /// Ejections of servers.
     pub ejections: u64,
+    /// Reports on single servers that deviate from the usual or have a standing.
+    pub observed: u64,
     /// Invariant violations.
     pub breaches: u64,
 }
--- a/crates/core/src/traffic/timer.rs
+++ b/crates/core/src/traffic/timer.rs
@@ -30,6 +30,8 @@
     ProbeTimeout(id::Server),
     /// Resume sending after the grace period of a pause.
     Resume,
+    /// Report observations of servers to the control core.
+    Report,
 }
 
 #[derive(Debug, Default)]
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -319,6 +319,7 @@
             event::Output::TrialUnused(trial) => {
                 self.at(self.now, Event::Control { host, life, input: control::Input::TrialUnused(trial) });
             }
+            event::Output::Observed(samples) => self.control(host, [control::Input::Observed(samples)]),
             event::Output::Probe { .. } => panic!("no request of this simulation has a fingerprint"),
             event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -145,6 +145,7 @@
             ("restarts", stats.restarts as i64),
             ("pauses", stats.pauses as i64),
             ("ejections", stats.ejections as i64),
+            ("observed", stats.observed as i64),
         ];
         for (name, value) in gauges {
             self.lane.with_label_values(&[lane.as_str(), name]).set(value);
