--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -131,6 +131,13 @@
 /// connections to callers and backend servers.
 const MIN_DESCRIPTORS: u32 = 64;
 
+/// Minimum interval between updates with evidence. Shorter ones wake small hosts many times a second.
+const MIN_EVIDENCE_INTERVAL: clock::Millis = clock::Millis(50);
+/// Maximum number of hosts that an update with evidence is sent to at once.
+const MAX_EVIDENCE_PEERS: u32 = 16;
+/// Minimum rate of evidence. Two seconds' worth must hold the largest update, of 1,760 bytes.
+const MIN_EVIDENCE_BYTES: u32 = 1000;
+
 /// Parses and validates settings; `document` is the file name in faults.
 pub fn read(document: &str, text: &str) -> Result<Settings, Vec<plan::Fault>> {
     let settings: Settings = yaml::read(document, text)?;
@@ -195,6 +202,18 @@
     if settings.control.warm_up_overage < 1.0 || settings.control.warm_up_slack < 0.0 {
         fault("`control.warm_up_overage` is below 1, or `warm_up_slack` below 0", "set them to 1 and 0 or more");
     }
+    if settings.control.evidence.is_some_and(|evidence| evidence.interval < MIN_EVIDENCE_INTERVAL) {
+        fault("`control.evidence.interval` is below 50", "set it to 50 ms or more, such as 200");
+    }
+    if settings.control.evidence.is_some_and(|evidence| evidence.peers == 0 || evidence.peers > MAX_EVIDENCE_PEERS) {
+        fault("`control.evidence.peers` is 0 or above 16", "set it from 1 to 16, such as 3");
+    }
+    if settings.control.evidence.is_some_and(|evidence| evidence.bytes_per_second < MIN_EVIDENCE_BYTES) {
+        fault("`control.evidence.bytes_per_second` is below 1000", "set it to 1000 or more, such as 6000");
+    }
+    if settings.control.evidence.is_some_and(|evidence| evidence.min_replicas < 2) {
+        fault("`control.evidence.min_replicas` is below 2", "set it to 2 or more, such as 3");
+    }
     if settings.control.watchers == 0 || settings.control.fanout == 0 {
         fault("`control` has no watchers or no fanout", "set both to 1 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Errors in YAML: each is reported with its position and a remedy.
 
 use rstest::rstest;
-use shallothub_core::plan;
+use shallothub_core::{evidence, plan};
 use shallothub_settings::{document, node};
 
 const SERVICES: &str = "shallothub/services/main";
@@ -124,6 +124,11 @@
 #[case::region("regions: {north: \"\"}", "without a name")]
 #[case::overage("control: {warm_up_overage: 0.5}", "`control.warm_up_overage` is below 1")]
 #[case::watchers("control: {watchers: 0}", "no watchers")]
+#[case::evidence_interval("control: {evidence: {interval: 10}}", "`control.evidence.interval` is below 50")]
+#[case::evidence_peers("control: {evidence: {peers: 0}}", "`control.evidence.peers` is 0")]
+#[case::evidence_bytes("control: {evidence: {bytes_per_second: 500}}", "`control.evidence.bytes_per_second` is below")]
+#[case::evidence_replicas("control: {evidence: {min_replicas: 1}}", "`control.evidence.min_replicas` is below 2")]
+#[case::evidence_unknown("control: {evidence: {peer: 3}}", "unknown field `peer`")]
 fn a_setting_out_of_range_has_a_remedy(#[case] line: &str, #[case] problem: &str) {
     let text = format!(
         "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n{line}\n"
@@ -148,6 +153,17 @@
     assert!(faults[0].problem.contains("0 or more"), "{}", faults[0]);
 }
 
+/// Guards against an exchange of evidence that is on by default, or whose defaults are not those in the documentation.
+#[test]
+fn evidence_is_off_by_default() {
+    let text = "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n";
+    let read = |text: &str| node::read("node.yaml", text).expect("settings").control.evidence;
+    assert_eq!(read(text), None);
+    let deployed = "control:\n  evidence: {interval: 200, peers: 3, bytes_per_second: 6000, min_replicas: 3}\n";
+    assert_eq!(read(&format!("{text}{deployed}")), Some(evidence::Policy::default()));
+    assert_eq!(read(&format!("{text}control: {{evidence: {{}}}}\n")), Some(evidence::Policy::default()));
+}
+
 /// The settings in the documented examples are valid.
 #[rstest]
 #[case::bangkok(include_str!("../../../examples/bangkok/node.yaml"))]
