--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! Each system has its own module: `admit` (limits and refusals), `choose` (replica selection, by [`estimate`]),
 //! `dispatch` (sending, per-server queues, retries), [`warm_up`] (servers that have just started),
-//! `suspect` (requests that crash servers), `hedge` (silent attempts) and `gather` (snapshots,
-//! coverage, answers).
+//! `suspect` (requests that crash servers), `hedge` (silent attempts), `gather` (snapshots, coverage,
+//! answers) and `observe` (reports on servers that deviate from the usual).
 
 mod admit;
 mod capacity;
@@ -23,6 +23,7 @@
 mod hedge;
 mod key;
 pub mod note;
+mod observe;
 pub mod policy;
 mod query;
 mod relay;
@@ -88,6 +89,7 @@
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
     report: standing::Report,
+    observations: observe::Observations,
     /// Set from a process pause until the control core confirms the view.
     paused_at: Option<clock::Millis>,
     /// Set from a process pause until the grace period ends or the control core confirms the view.
@@ -121,6 +123,7 @@
             ejected: 0,
             standings: Arc::default(),
             report: standing::Report::default(),
+            observations: observe::Observations::default(),
             paused_at: None,
             is_sending_paused: false,
             outputs: Vec::new(),
@@ -241,6 +244,7 @@
                 Timer::Probe(server) => self.send_probe(server),
                 Timer::ProbeTimeout(server) => self.on_probe_timeout(server),
                 Timer::Resume => self.resume(),
+                Timer::Report => self.report_observations(),
             }
         }
     }
@@ -268,6 +272,7 @@
             return;
         }
         self.clear_replaced(&view);
+        self.observations.set_view(&view);
         self.view = view;
         let equal_share = 1.0 / f64::from(self.view.hosts.max(1));
         self.fleet.set_limit_shares(self.now, equal_share, &self.view.limit_shares, self.lane.count.max(1));
--- a/crates/core/src/traffic/summary.rs
+++ b/crates/core/src/traffic/summary.rs
@@ -54,6 +54,8 @@
     pub far_choices: u64,
     /// Choices that the standing of a server changed.
     pub standing_choices: u64,
+    /// Reports on single servers that deviate from the usual or have a standing.
+    pub observed: u64,
     /// Invariant violations.
     pub breaches: u64,
 }
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -319,6 +319,7 @@
             event::Output::TrialUnused(trial) => {
                 self.at(self.now, Event::Control { host, life, input: control::Input::TrialUnused(trial) });
             }
+            event::Output::Observed(samples) => self.control(host, [control::Input::Observed(samples)]),
             event::Output::Probe { .. } => panic!("no request of this simulation has a fingerprint"),
             event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
@@ -458,6 +459,7 @@
             control::Output::View(view) => self.on_view(host, life, view),
             control::Output::Revalidated => self.traffic(host, [event::Input::Revalidated]),
             control::Output::Suspects(suspects) => self.traffic(host, [event::Input::Suspects(suspects)]),
+            control::Output::Evidence(standings) => self.traffic(host, [event::Input::Evidence(standings)]),
             control::Output::TrialGranted(trial) => self.traffic(host, [event::Input::TrialGranted(trial)]),
             control::Output::Refused { stamp, .. } => {
                 self.oracle.breach("accepted", format!("host {host} refused {stamp}"));
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -66,6 +66,7 @@
         match message {
             shared::ToLane::View(view) => shell.step([traffic::event::Input::View(view)]),
             shared::ToLane::Suspects(suspects) => shell.step([traffic::event::Input::Suspects(suspects)]),
+            shared::ToLane::Evidence(standings) => shell.step([traffic::event::Input::Evidence(standings)]),
             shared::ToLane::TrialGranted(trial) => shell.step([traffic::event::Input::TrialGranted(trial)]),
             shared::ToLane::Revalidated => shell.step([traffic::event::Input::Revalidated]),
             shared::ToLane::Explain(query, reply) => {
@@ -228,6 +229,7 @@
             traffic::event::Output::Cleared(fingerprint) => self.notify_control(control::Input::Cleared(fingerprint)),
             traffic::event::Output::RequestTrial(trial) => self.notify_control(control::Input::RequestTrial(trial)),
             traffic::event::Output::TrialUnused(trial) => self.notify_control(control::Input::TrialUnused(trial)),
+            traffic::event::Output::Observed(samples) => self.notify_control(control::Input::Observed(samples)),
             traffic::event::Output::Probe { server, address } => {
                 task::spawn_local(attempt::probe(Rc::clone(self), server, address));
             }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -147,6 +147,7 @@
             ("ejections", stats.ejections as i64),
             ("far_choices", stats.far_choices as i64),
             ("standing_choices", stats.standing_choices as i64),
+            ("observed", stats.observed as i64),
         ];
         for (name, value) in gauges {
             self.lane.with_label_values(&[lane.as_str(), name]).set(value);
@@ -168,6 +169,11 @@
             ("suspects", stats.suspects),
             ("held", stats.held),
             ("convicted", stats.convicted),
+            ("opinions", stats.opinions),
+            ("standings", stats.standings),
+            ("evidence_merged", stats.evidence_merged),
+            ("evidence_sent", stats.evidence_sent),
+            ("evidence_bytes", stats.evidence_bytes),
             ("entries", stats.entries),
             ("servers", stats.servers),
             ("servers_held", stats.servers_held),
