Plan the repeats of a search as a whole

Cause: extra attempts are spent shard by shard, first come first served. Nothing decides whether a search can still reach its least coverage, or which shard a token helps most.

Change: `traffic::repeats::plan`, a pure function. From what may still become of each shard and the tokens of the services and of the class it ends a search that cannot reach its least coverage by its deadline, or names the shards to repeat now, those to give up and the time of the next plan. Buckets tell their level and the inflow that can be relied on.

Property tests (2,000 cases each): never more than the tokens, no search ended that some order of repeats completes, and the likeliest shard of an account first. Nothing uses it yet.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -7,6 +7,18 @@
 
 use crate::clock;
 
+/// Half-life of the average of earned tokens, in ms. A host with one search a second keeps some of them in view, and a
+/// rise of demand within a second is noticed.
+const EARN_HALF_LIFE: f64 = 2000.0;
+
+/// Frequency of earning from which tokens are waited for, per ms: an estimate of their arrival is right within 10 ms,
+/// the time in which a hopeless search must end.
+const STEADY_FREQUENCY: f64 = 0.1;
+
+fn decay(age: clock::Millis) -> f64 {
+    (0.5_f64).powf(age.0 as f64 / EARN_HALF_LIFE)
+}
+
 /// A token bucket: first attempts earn tokens, extra attempts spend them.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -17,6 +29,11 @@
     max_capacity: f64,
     /// Tokens gained per ms.
     rate: f64,
+    /// Moving averages of the tokens earned and of the times that some were earned, per ms, and when they were last
+    /// updated.
+    earn_rate: f64,
+    earn_frequency: f64,
+    earned_at: clock::Millis,
     /// Instant up to which time-based tokens are added, and their total so far.
     filled_at: clock::Millis,
     gained: f64,
@@ -34,6 +51,9 @@
             capacity,
             max_capacity: capacity,
             rate: 0.0,
+            earn_rate: 0.0,
+            earn_frequency: 0.0,
+            earned_at: clock::Millis::ZERO,
             filled_at: clock::Millis::ZERO,
             gained: 0.0,
             earned: 0,
@@ -73,8 +93,33 @@
         self.tokens >= 1.0
     }
 
+    /// The number of tokens.
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// The maximum number of tokens.
+    pub fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
+    /// Tokens that arrive per ms: those gained over time, and the recent average of those earned if some are earned at
+    /// least every 10 ms. Rarer ones arrive too irregularly to wait for. The average is up to date only if
+    /// [`Bucket::fill`] is called before [`Bucket::earn`].
+    pub fn inflow(&self, now: clock::Millis) -> f64 {
+        let decay = decay(now.since(self.earned_at));
+        let is_steady = self.earn_frequency * decay >= STEADY_FREQUENCY;
+        if is_steady { self.rate + self.earn_rate * decay } else { self.rate }
+    }
+
     /// Records `count` first attempts and adds the tokens that they earn.
     pub fn earn(&mut self, count: u64) {
+        let earned = self.fraction * count as f64;
+        let decay = decay(self.filled_at.since(self.earned_at));
+        let weight = std::f64::consts::LN_2 / EARN_HALF_LIFE;
+        self.earn_rate = self.earn_rate * decay + earned * weight;
+        self.earn_frequency = self.earn_frequency * decay + weight;
+        self.earned_at = self.filled_at;
         self.earned += count;
         self.tokens = (self.tokens + self.fraction * count as f64).min(self.capacity);
     }
--- a/crates/core/src/ratio.rs
+++ b/crates/core/src/ratio.rs
@@ -28,6 +28,11 @@
         self.0
     }
 
+    /// The smallest part of `whole` that is at least this fraction, as in [`Ratio::is_met`].
+    pub fn smallest_part(self, whole: usize) -> usize {
+        (self.0 * whole as f64 - 1e-9).ceil().max(0.0) as usize
+    }
+
     /// Whether `part` of `whole` is at least this fraction, with a tolerance of 1e-9 for rounding errors.
     pub fn is_met(self, part: usize, whole: usize) -> bool {
         part as f64 >= self.0 * whole as f64 - 1e-9
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -25,6 +25,7 @@
 pub mod policy;
 mod query;
 mod relay;
+pub mod repeats;
 mod server;
 pub mod summary;
 mod suspect;
