Apply the plan of repeats and reserve tokens by urgency

Cause: a shard without a token waited for the budget up to four times, so a search that could not become complete ended after 210 to 310 ms. A less urgent class, or a hedge of a search that had its least coverage, could take the last token of a service.

Change: `traffic.plan_repeats` (default off). A failed shard waits for the plan of its search, which is made once, 2 ms after the failure, and again when the accounts change, when a token is due and when the target latency passes. A hopeless search ends with its true outcome and a retry delay spread over the time of the refill. A class leaves a quarter of a service's bucket to each more urgent class that uses it; the reserve fades within 4 s for a class that it holds up. `traffic.min_replicas` (default 3) excludes shards without a real alternative; requests that run at most once, relayed ones and suspects are excluded too. Counters, one log line a second with the numbers that decided, and the reason in the answer.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -159,6 +159,7 @@
             groups: Vec::new(),
             want: None,
             failed_shards: 0,
+            unplanned: 0,
             is_dispatching: false,
             pending_hint: 0,
             may_have_run: false,
@@ -323,6 +324,7 @@
         query.shards = vec![query::Shard::default(); shard_count];
         query.groups.clear();
         query.failed_shards = 0;
+        query.unplanned = 0;
         query.last_answer = None;
         query.want = None;
         query.is_dispatching = true;
@@ -337,10 +339,14 @@
         }
         if !is_forwarded && query.restarts == 0 {
             for target in query.targets() {
-                self.fleet.earn(now, target.service);
+                self.fleet.earn(now, target.service, class.priority);
             }
-            self.classes[class_index].hedges.earn(count);
-            self.classes[class_index].retries.earn(count);
+            let buckets = &mut self.classes[class_index];
+            for bucket in [&mut buckets.hedges, &mut buckets.retries] {
+                bucket.fill(now);
+                bucket.earn(count);
+            }
+            self.on_budget_change();
         }
         self.pick_snapshot(id);
         self.arm_hedge(id, now);
--- a/crates/core/src/traffic/capacity.rs
+++ b/crates/core/src/traffic/capacity.rs
@@ -56,7 +56,7 @@
         waits.get(needed.max(1) - 1).copied()
     }
 
-    fn wait_at_server(&self, id: id::Server, priority: usize, median: clock::Millis) -> clock::Millis {
+    pub(super) fn wait_at_server(&self, id: id::Server, priority: usize, median: clock::Millis) -> clock::Millis {
         let state = &self.servers[id.index()];
         if state.share == 0 || state.is_blocked(self.now) {
             return clock::Millis::MAX;
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -13,6 +13,11 @@
 /// Maximum number of times that a shard waits for the retry budget.
 const MAX_BUDGET_WAITS: u8 = 4;
 
+/// Backoff before a retry after `doublings` attempts, without jitter.
+pub(super) fn backoff(doublings: u8) -> clock::Millis {
+    clock::Millis(INITIAL_BACKOFF.0 << doublings.min(5))
+}
+
 impl super::Core {
     /// Sends an attempt for a shard, or queues it until a server has capacity.
     pub(super) fn dispatch(&mut self, query: id::Query, shard_index: u32, kind: query::Kind) {
@@ -203,7 +208,7 @@
         let Some(query) = self.queries.get(wait.query.0) else {
             return false;
         };
-        query.shards.get(wait.shard_index as usize).is_some_and(|shard| shard.is_waiting)
+        query.shards.get(wait.shard_index as usize).is_some_and(|shard| shard.is_waiting && !shard.is_unplanned)
     }
 
     fn next_kind(&self, wait: server::Wait) -> query::Kind {
@@ -262,6 +267,10 @@
             self.fail_shard(id, shard_index);
             return;
         }
+        if !is_free && self.is_planned(id, shard_index) {
+            self.await_plan(id, shard_index);
+            return;
+        }
         if !is_free && !self.spend(id, shard_index, query::Kind::Retry) {
             self.wait_for_budget(id, shard_index, is_known_not_run);
             return;
@@ -273,8 +282,8 @@
         self.back_off(id, shard_index, shard.tries);
     }
 
-    fn back_off(&mut self, id: id::Query, shard_index: u32, doublings: u8) {
-        let backoff = INITIAL_BACKOFF.0 << doublings.min(5);
+    pub(super) fn back_off(&mut self, id: id::Query, shard_index: u32, doublings: u8) {
+        let backoff = backoff(doublings).0;
         let jitter = self.random.random_range(0..=backoff);
         if let Some(query) = self.queries.get_mut(id.0) {
             query.shards[shard_index as usize].is_waiting = true;
@@ -313,8 +322,10 @@
             bucket.force_spend();
             return true;
         }
-        if self.fleet.has_token(self.now, service) && bucket.spend() {
+        let has_token = self.fleet.has_token(self.now, service);
+        if has_token && bucket.spend() {
             self.fleet.spend(self.now, service);
+            self.on_budget_change();
             // A restarted query pays for all its shards before their entries exist again.
             let query = self.queries.get_mut(id.0);
             if let Some(shard) = query.and_then(|query| query.shards.get_mut(shard_index as usize)) {
@@ -322,6 +333,11 @@
             }
             return true;
         }
+        if has_token {
+            self.stats.denied_by_class += 1;
+        } else {
+            self.stats.denied_by_service += 1;
+        }
         let cause = if kind == query::Kind::Hedge { note::Cause::Silence } else { note::Cause::Failure };
         let shard = query.target(shard_index).shard.clone();
         let caller = query.caller;
--- a/crates/core/src/traffic/finish.rs
+++ b/crates/core/src/traffic/finish.rs
@@ -112,6 +112,7 @@
         let Some(query) = self.queries.remove(id.0) else {
             return;
         };
+        self.remove_from_agenda(id);
         if self.callers.swap_remove(&query.caller) != Some(id) {
             self.breach(invariant::Name::OwnWholeAnswer, format!("{id}: not the query of {:?}", query.caller));
         }
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -198,6 +198,7 @@
         if attempt.is_paid {
             self.fleet.refund(self.now, service);
         }
+        self.on_budget_change();
         if let Some(query) = self.queries.get_mut(attempt.query.0) {
             query.shards[attempt.shard_index as usize].record_unsent(attempt.server);
         }
@@ -314,6 +315,10 @@
             return;
         }
         shard.is_failed = true;
+        self.plan_if_unplanned(id);
+        let Some(query) = self.queries.get_mut(id.0) else {
+            return;
+        };
         query.failed_shards += 1;
         let total = query.shards.len();
         let reachable = total - query.failed_shards;
@@ -330,7 +335,7 @@
         self.settle(id);
     }
 
-    fn shortfall_code(&self, id: id::Query) -> event::Code {
+    pub(super) fn shortfall_code(&self, id: id::Query) -> event::Code {
         let saw_epoch = self.queries.get(id.0).is_some_and(|query| query.seen_epoch.is_some());
         if saw_epoch { event::Code::Repartitioned } else { event::Code::InsufficientCoverage }
     }
@@ -365,6 +370,10 @@
             return;
         };
         if query.is_pending() {
+            let is_nothing_in_flight = shards + query.failed_shards + query.unplanned >= total;
+            if is_nothing_in_flight {
+                self.plan_if_unplanned(id);
+            }
             return;
         }
         if is_enough {
--- a/crates/core/src/traffic/hedge.rs
+++ b/crates/core/src/traffic/hedge.rs
@@ -55,6 +55,7 @@
         let delay = self.hedge_delay(row.class, row);
         let silence = self.silence_delay(row.class, row);
         let is_forwarded = row.is_forwarded;
+        let mut needed = self.hedges_needed(row);
         let mut next: Option<clock::Millis> = None;
         let mut schedule_check = |at: clock::Millis| next = Some(next.map_or(at, |current| current.min(at)));
         for shard_index in 0..row.shards.len() as u32 {
@@ -73,7 +74,7 @@
             }
             if age < delay {
                 schedule_check(sent + delay);
-            } else if may_hedge && !self.hedge_shard(query, shard_index) {
+            } else if may_hedge && !self.hedge_shard(query, shard_index, &mut needed) {
                 schedule_check(self.now + delay);
             }
         }
@@ -113,8 +114,8 @@
 
     /// Sends one hedge if another replica has free capacity and the budget allows it. Never queues the hedge,
     /// which would add load to servers that are already behind. Returns `false` if it should be tried again
-    /// later.
-    fn hedge_shard(&mut self, query: id::Query, shard_index: u32) -> bool {
+    /// later. `needed` is the number of hedges that the least coverage needs.
+    fn hedge_shard(&mut self, query: id::Query, shard_index: u32, needed: &mut usize) -> bool {
         let Some(server) = self.choose(query, shard_index) else {
             return true;
         };
@@ -128,7 +129,7 @@
         if !self.has_capacity(server) || self.servers[server.index()].waiting_len() > 0 {
             return false;
         }
-        if !self.spend(query, shard_index, query::Kind::Hedge) {
+        if !self.spend_hedge(query, shard_index, needed) {
             return false;
         }
         self.log_extra(query, shard_index, server, note::Cause::Silence);
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! Each system has its own module: `admit` (limits and refusals), `choose` (replica selection),
 //! `dispatch` (sending, per-server queues, retries), [`warm_up`] (servers that have just started),
-//! `suspect` (requests that crash servers), `hedge` (silent attempts) and `gather` (snapshots,
+//! `suspect` (requests that crash servers), [`repeats`] and `judge` (the plan of repeats), `hedge` (silent attempts) and `gather` (snapshots,
 //! coverage, answers).
 
 mod admit;
@@ -20,6 +20,7 @@
 mod fleet;
 mod gather;
 mod hedge;
+mod judge;
 mod key;
 pub mod note;
 pub mod policy;
@@ -83,6 +84,8 @@
     /// Queries that run as a trial or wait for the grant of one, by request fingerprint.
     trials: IndexMap<crate::suspect::Fingerprint, id::Query>,
     fleet: fleet::Fleet,
+    /// Searches that wait for tokens or are to be planned.
+    agenda: judge::Agenda,
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
@@ -116,6 +119,7 @@
             answered: suspect::Answered::default(),
             trials: IndexMap::new(),
             fleet,
+            agenda: judge::Agenda::default(),
             ejected: 0,
             standings: Arc::default(),
             paused_at: None,
@@ -144,7 +148,9 @@
         for input in inputs {
             self.apply(input);
         }
+        self.plan_due();
         self.admit_waiting();
+        self.plan_due();
         std::mem::take(&mut self.outputs)
     }
 
@@ -228,9 +234,13 @@
         while let Some(timer) = self.timers.pop(self.now) {
             match timer {
                 Timer::Deadline(query) => self.on_deadline(query),
-                Timer::Settle(query) => self.settle(query),
+                Timer::Settle(query) => {
+                    self.plan_if_unplanned(query);
+                    self.settle(query);
+                }
                 Timer::Hedge(query) => self.hedge(query),
                 Timer::Retry(query, shard_index) => self.on_backoff_end(query, shard_index),
+                Timer::Plan => self.on_plan_timer(),
                 Timer::SendWaiting(server) => self.send_waiting(server),
                 Timer::ConnectionClosed(server) => self.release(server),
                 Timer::TrialTimeout(query) => self.on_trial_timeout(query),
--- a/crates/core/src/traffic/note.rs
+++ b/crates/core/src/traffic/note.rs
@@ -4,7 +4,7 @@
 
 use crate::{clock, id, suspect};
 
-use super::event;
+use super::{event, repeats};
 
 /// A decision, with its inputs.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +44,17 @@
         /// Reason for the attempt.
         cause: Cause,
     },
+    /// Queries were ended because they could not reach their least coverage.
+    Hopeless {
+        /// The caller of the last of them.
+        caller: id::Caller,
+        /// The numbers that decided.
+        shortfall: repeats::Shortfall,
+        /// Time since its request arrived.
+        after: clock::Millis,
+        /// Number of these queries since the previous note.
+        count: u64,
+    },
     /// An attempt failed.
     Failed {
         /// The caller of the request; `None` if it has already been answered.
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -81,6 +81,12 @@
     /// Factor on the expected latency of replicas in other data centres. Traffic between data centres has a
     /// cost, so a local replica is preferred until it is slower by this factor. Default 1.
     pub far_cost: f64,
+    /// Minimum number of open replicas of a shard for `expected_time` and `plan_repeats` to apply. Default 3: with
+    /// two, the only alternative is the one that the first repeat uses anyway.
+    pub min_replicas: u8,
+    /// Whether repeats are planned for a search as a whole: one that cannot reach its least coverage ends at once, and
+    /// extra attempts go where they make a search complete in time. Default false.
+    pub plan_repeats: bool,
     /// This host's share of the fleet-wide bound on extra attempts at each service. Default none.
     pub fleet: Option<Fleet>,
 }
@@ -137,6 +143,8 @@
             silence: clock::Millis::ZERO,
             score_band: 1.0,
             far_cost: 1.0,
+            min_replicas: 3,
+            plan_repeats: false,
             fleet: None,
         }
     }
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -37,6 +37,10 @@
     pub(crate) is_paid: bool,
     /// Whether the end of the backoff must take a budget token, or wait again.
     pub(crate) needs_budget: bool,
+    /// Whether the shard waits for the plan of repeats to give it a token or to give it up.
+    pub(crate) is_unplanned: bool,
+    /// Whether a token was denied to it since its last attempt.
+    pub(crate) is_denied: bool,
     /// Whether the shard waits for capacity at a server or for the end of a backoff.
     pub(crate) is_waiting: bool,
     pub(crate) is_failed: bool,
@@ -158,6 +162,8 @@
     pub(crate) groups: Vec<Group>,
     pub(crate) want: Option<view::Snapshot>,
     pub(crate) failed_shards: usize,
+    /// Number of shards that wait for the plan of repeats.
+    pub(crate) unplanned: usize,
     /// Whether its first attempts are still being dispatched; until then it does not end for lack of pending shards.
     pub(crate) is_dispatching: bool,
     /// Index of the shard that was pending at the last check.
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -248,6 +248,11 @@
         }
     }
 
+    /// Estimated probability that an attempt is refused, fails or is lost.
+    pub(crate) fn failure_probability(&self, now: clock::Millis) -> f64 {
+        self.failure_rate * self.sample_weight(now)
+    }
+
     pub(crate) fn has_snapshot(&self, snapshot: view::Snapshot) -> bool {
         self.snapshots.contains(&Some(snapshot))
     }
--- a/crates/core/src/traffic/summary.rs
+++ b/crates/core/src/traffic/summary.rs
@@ -50,6 +50,20 @@
     pub pauses: u64,
     /// Ejections of servers.
     pub ejections: u64,
+    /// Queries ended early because they could not reach their least coverage.
+    pub hopeless: u64,
+    /// Tokens given to complete a query in time.
+    pub tokens_complete: u64,
+    /// Tokens given for coverage beyond the least.
+    pub tokens_coverage: u64,
+    /// Tokens given to complete a late query.
+    pub tokens_late: u64,
+    /// Extra attempts for which the reserve for more useful ones withheld a token.
+    pub tokens_withheld: u64,
+    /// Extra attempts for which the budget of the class had no token.
+    pub denied_by_class: u64,
+    /// Extra attempts for which the bound of the service had no token.
+    pub denied_by_service: u64,
     /// Invariant violations.
     pub breaches: u64,
 }
--- a/crates/core/src/traffic/timer.rs
+++ b/crates/core/src/traffic/timer.rs
@@ -18,6 +18,8 @@
     Hedge(id::Query),
     /// Retry a shard of the query.
     Retry(id::Query, u32),
+    /// Plan the repeats of the searches that wait for tokens.
+    Plan,
     /// Send the work queued for the server.
     SendWaiting(id::Server),
     /// Release the connection of a cancelled attempt, which the server has closed by now.
--- a/crates/core/src/traffic/why.rs
+++ b/crates/core/src/traffic/why.rs
@@ -6,6 +6,8 @@
 
 use crate::{clock, suspect};
 
+use super::repeats;
+
 /// Maximum number of shards listed by name; the rest is counted.
 const MAX_LISTED: usize = 4;
 
@@ -74,6 +76,8 @@
         /// Time until it may be tried again.
         retry_after: clock::Millis,
     },
+    /// Too few of its shards could still answer.
+    Hopeless(repeats::Shortfall),
     /// Attempts without a reply when the answer was sent.
     Silent(Vec<Silent>),
     /// The shard that was answered last.
@@ -145,6 +149,7 @@
             Self::Crashes { fingerprint, retry_after } => {
                 write!(f, "request {fingerprint} is not run for {retry_after}")
             }
+            Self::Hopeless(shortfall) => write!(f, "{shortfall}"),
             Self::Last { shard, server, sent_after, took } => {
                 write!(f, "the last part was {shard} from {server}, asked after {sent_after}, which took {took}")
             }
--- a/crates/node/src/lane/note.rs
+++ b/crates/node/src/lane/note.rs
@@ -22,6 +22,10 @@
                 let cause = cause.as_str();
                 tracing::info!(%request, %shard, cause, "no budget for another attempt");
             }
+            note::Note::Hopeless { caller, shortfall, after, count } => {
+                let request = self.request_name(*caller);
+                tracing::info!(%request, %shortfall, after_ms = after.0, count, "ended searches that lack shards");
+            }
             note::Note::Failed { caller, server, end, took } => {
                 let request = caller.map(|caller| self.request_name(caller)).unwrap_or_default();
                 let (end, detail) = (end.as_str(), end.detail());
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -145,6 +145,13 @@
             ("restarts", stats.restarts as i64),
             ("pauses", stats.pauses as i64),
             ("ejections", stats.ejections as i64),
+            ("hopeless", stats.hopeless as i64),
+            ("tokens_complete", stats.tokens_complete as i64),
+            ("tokens_coverage", stats.tokens_coverage as i64),
+            ("tokens_late", stats.tokens_late as i64),
+            ("tokens_withheld", stats.tokens_withheld as i64),
+            ("denied_by_class", stats.denied_by_class as i64),
+            ("denied_by_service", stats.denied_by_service as i64),
         ];
         for (name, value) in gauges {
             self.lane.with_label_values(&[lane.as_str(), name]).set(value);
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -192,6 +192,9 @@
     if settings.traffic.score_band < 1.0 {
         fault("`traffic.score_band` is below 1", "set it to 1 or more");
     }
+    if settings.traffic.min_replicas == 0 {
+        fault("`traffic.min_replicas` is 0", "set it to 1 or more, or switch off what depends on it");
+    }
     if settings.control.warm_up_overage < 1.0 || settings.control.warm_up_slack < 0.0 {
         fault("`control.warm_up_overage` is below 1, or `warm_up_slack` below 0", "set them to 1 and 0 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -119,6 +119,8 @@
 #[case::budget("traffic: {retry_fraction: -0.1}", "is negative")]
 #[case::bound("traffic: {fleet: {ratio: 0.2, slack: -1}}", "`traffic.fleet` is negative")]
 #[case::band("traffic: {score_band: 0.5}", "`traffic.score_band` is below 1")]
+#[case::replicas("traffic: {plan_repeats: true, min_replicas: 0}", "`traffic.min_replicas` is 0")]
+#[case::repeats("traffic: {plan_repeats: 1}", "invalid boolean")]
 #[case::quantile("traffic: {hedge_quantile: 1.2}", "is no quantile")]
 #[case::silence("traffic: {silence_quantile: 0}", "is no quantile")]
 #[case::region("regions: {north: \"\"}", "without a name")]
