--- a/crates/core/tests/simulated_faults.rs
+++ b/crates/core/tests/simulated_faults.rs
@@ -1,6 +1,6 @@
 //! Utility of answers in a simulated deployment under faults, pauses and overload.
 
-#[expect(unreachable_pub, reason = "a module of this test alone")]
+#[expect(unreachable_pub, dead_code, reason = "a module of tests, each of which uses a part")]
 mod simulation;
 
 use rstest::rstest;
--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -5,12 +5,13 @@
 //! failing for a time. A canceled attempt is dropped with its connection, and opening a connection occupies a
 //! slot. Runs are deterministic for a given seed.
 
+mod arrivals;
 mod leaf;
 
 use std::{cmp, collections::BinaryHeap, sync::Arc};
 
 use compact_str::{CompactString, format_compact};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng, rngs};
 use shallothub_core::{
     clock, id, ratio,
@@ -22,6 +23,8 @@
 const HOP: u64 = 1;
 /// Work of a light request, relative to a heavy one.
 const LIGHT_WORK: f64 = 0.35;
+/// Time before the target latency at which a host counts an answer as late, in ms.
+const AIM_MARGIN: u64 = 16;
 /// Maximum time between two steps of a host, in ms.
 const TICK_INTERVAL: u64 = 300;
 
@@ -89,6 +92,8 @@
     /// Fault of host 0 and its start, in ms.
     pub host_fault: Option<(u64, HostFault)>,
     pub injections: Vec<Injection>,
+    /// Results are of requests that arrive within this time, in ms.
+    pub measured: (u64, u64),
 }
 
 impl Default for Plan {
@@ -116,6 +121,7 @@
             owners: usize::MAX,
             host_fault: None,
             injections: Vec::new(),
+            measured: (5000, u64::MAX),
         }
     }
 }
@@ -128,9 +134,22 @@
         }
         self
     }
+
+    /// Injects `fault` at one replica of each shard with an even number and at two of the others, from `from` to
+    /// `until` ms. Half of the leafs of each data centre are affected if there are as many data centres as replicas.
+    pub fn with_half_faulty(mut self, from: u64, until: u64, fault: LeafFault) -> Self {
+        for shard in 0..self.shards {
+            for offset in 0..=shard % 2 {
+                let leaf = shard * self.replicas + (shard / 2 + offset) % self.replicas;
+                self.injections.push(Injection { leaf, from, until, fault });
+            }
+        }
+        self
+    }
 }
 
-/// Results of a run from 5 s on, when the cores have their first measurements and faults begin.
+/// Results of a run within the measured time, by default from 5 s on, when the cores have their first measurements and
+/// faults begin.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     pub requests: u64,
@@ -152,9 +171,33 @@
     pub latencies: Vec<u64>,
     /// Maximum time to a refusal or failure, in ms.
     pub longest_refusal: u64,
+    /// Answers without the least coverage.
+    pub insufficient: u64,
+    /// Time from the request's arrival at a host to each of these, in ms.
+    pub insufficient_after: Vec<u64>,
+    /// Time to each of these from the last event that can have made it certain, in ms: a failed attempt of the request,
+    /// an extra attempt of another request at its host, or the passing of its target latency.
+    pub insufficient_lag: Vec<u64>,
+    /// Extra attempts that were made for these.
+    pub insufficient_cost: u64,
+    /// The largest number of extra arrivals at a shard in any 10 s of the run, less 0.2 of the requests in that time.
+    pub max_slack_used: f64,
+    /// Sums of the counters of all hosts.
+    pub stats: Totals,
     pub breaches: Vec<String>,
 }
 
+/// Sums of counters over all hosts, over the whole run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Totals {
+    pub hedges: u64,
+    pub retries: u64,
+    pub hopeless: u64,
+    pub denied_by_class: u64,
+    pub denied_by_service: u64,
+    pub withheld: u64,
+}
+
 impl Outcome {
     /// The `q` quantile of the latency of answers, in ms.
     pub fn quantile(&self, q: f64) -> u64 {
@@ -260,6 +303,15 @@
     first_attempts: u64,
     arrivals: u64,
     far_arrivals: u64,
+    /// The request of each unanswered attempt.
+    attempt_callers: IndexMap<leaf::Sender, u64>,
+    /// Shards to which a host has sent an attempt of a request.
+    dispatched: IndexSet<(usize, u64, usize)>,
+    /// When the last attempt of a request failed, by host and caller number.
+    failed_at: IndexMap<(usize, u64), u64>,
+    /// When each host last sent an extra attempt.
+    extra_sent_at: Vec<u64>,
+    shard_arrivals: Vec<arrivals::Arrivals>,
     outcome: Outcome,
 }
 
@@ -274,7 +326,7 @@
         adaptive_admission: false,
         running_ceiling: 96,
         margin: clock::Millis(8),
-        aim_margin: clock::Millis(16),
+        aim_margin: clock::Millis(AIM_MARGIN),
         silence: clock::Millis(150),
         score_band: 1.5,
         refuse_by_wait: true,
@@ -328,6 +380,11 @@
             first_attempts: 0,
             arrivals: 0,
             far_arrivals: 0,
+            attempt_callers: IndexMap::new(),
+            dispatched: IndexSet::new(),
+            failed_at: IndexMap::new(),
+            extra_sent_at: vec![0; plan.hosts],
+            shard_arrivals: vec![arrivals::Arrivals::default(); plan.shards],
             outcome: Outcome::default(),
             plan,
         };
@@ -374,7 +431,13 @@
                     self.schedule_completions(leaf, started);
                 }
                 Event::Complete { leaf, run } => self.complete(leaf, run),
-                Event::Reply { host, attempt, reply } => self.step(host, event::Input::Reply { attempt, reply }),
+                Event::Reply { host, attempt, reply } => {
+                    let caller = self.attempt_callers.swap_remove(&(host, attempt));
+                    if let Some(caller) = caller.filter(|_| !matches!(reply, event::Reply::Answered(_))) {
+                        self.failed_at.insert((host, caller), self.now);
+                    }
+                    self.step(host, event::Input::Reply { attempt, reply });
+                }
                 Event::Kill => self.kill(),
                 Event::Tick { host } => {
                     self.step(host, event::Input::Tick);
@@ -396,6 +459,18 @@
         self.outcome.utility = (2.0 * heavy.0 + light.0) / weight.max(1.0);
         self.outcome.far_ratio = self.far_arrivals as f64 / self.arrivals.max(1) as f64;
         self.outcome.extra_ratio = self.arrivals as f64 / self.first_attempts.max(1) as f64 - 1.0;
+        self.outcome.max_slack_used =
+            self.shard_arrivals.iter().map(arrivals::Arrivals::max_slack_used).fold(0.0, f64::max);
+        for host in &self.hosts {
+            let stats = host.stats();
+            let totals = &mut self.outcome.stats;
+            totals.hedges += stats.hedges;
+            totals.retries += stats.retries;
+            totals.hopeless += stats.hopeless;
+            totals.denied_by_class += stats.denied_by_class;
+            totals.denied_by_service += stats.denied_by_service;
+            totals.withheld += stats.tokens_withheld;
+        }
     }
 
     fn request(&mut self, host: usize) {
@@ -488,7 +563,7 @@
     }
 
     fn is_measured(&self, at: u64) -> bool {
-        at >= 5000
+        (self.plan.measured.0..self.plan.measured.1).contains(&at)
     }
 
     fn step(&mut self, host: usize, input: event::Input) {
@@ -504,6 +579,11 @@
                     );
                 }
                 event::Output::Dispatch(dispatch) => {
+                    let shard = dispatch.server.index() / self.plan.replicas;
+                    if !self.dispatched.insert((host, dispatch.caller.0, shard)) {
+                        self.extra_sent_at[host] = self.now;
+                    }
+                    self.attempt_callers.insert((host, dispatch.attempt), dispatch.caller.0);
                     self.sent.insert((host, dispatch.attempt), dispatch.server.index());
                     self.schedule(self.now + HOP, Event::Arrive { host, dispatch: Box::new(dispatch) });
                 }
@@ -538,9 +618,11 @@
     }
 
     /// Records that a request reached `leaf`. Over all hosts that handle it, it may reach at most two leafs of a shard.
-    fn record_reached(&mut self, host: usize, caller: u64, leaf: usize) {
+    /// Returns whether it reached the shard before.
+    fn record_reached(&mut self, host: usize, caller: u64, leaf: usize) -> bool {
         let origin = self.origins.get(&(host, caller)).copied().unwrap_or((host, caller));
         let reached = self.reached.entry((origin, leaf / self.plan.replicas)).or_default();
+        let is_extra = !reached.is_empty();
         if !reached.contains(&leaf) {
             reached.push(leaf);
         }
@@ -549,6 +631,7 @@
                 .breaches
                 .push(format!("request {origin:?} reached more than two leafs of a shard: {reached:?}"));
         }
+        is_extra
     }
 
     fn on_arrival(&mut self, host: usize, dispatch: &event::Dispatch) {
@@ -560,7 +643,8 @@
         if !self.sent.contains_key(&(host, attempt)) {
             return;
         }
-        self.record_reached(host, dispatch.caller.0, leaf);
+        let is_extra = self.record_reached(host, dispatch.caller.0, leaf);
+        self.shard_arrivals[leaf / self.plan.replicas].record(self.now, is_extra);
         if self.is_measured(self.now) {
             self.arrivals += 1;
             let is_far = host % self.plan.data_centres != leaf % self.plan.replicas % self.plan.data_centres;
@@ -643,6 +727,10 @@
         if answer.outcome != event::Outcome::Answered {
             self.outcome.refused += 1;
             self.outcome.longest_refusal = self.outcome.longest_refusal.max(latency);
+            if answer.code == event::Code::InsufficientCoverage {
+                self.outcome.insufficient_cost += u64::from(answer.cost.hedges + answer.cost.retries);
+                self.record_insufficient(host, answer.caller.0, query);
+            }
             self.retry(query, answer.retry_after);
             return;
         }
@@ -668,6 +756,16 @@
         };
         self.utilities[usize::from(query.is_light)].0 += coverage * coverage * timeliness;
     }
+
+    fn record_insufficient(&mut self, host: usize, caller: u64, query: Query) {
+        self.outcome.insufficient += 1;
+        self.outcome.insufficient_after.push(self.now - query.at);
+        let (target, _) = self.plan.time_limits(query.is_light);
+        let due_at = (query.first_at + target).saturating_sub(AIM_MARGIN);
+        let passed = if due_at <= self.now { due_at } else { 0 };
+        let failed_at = self.failed_at.get(&(host, caller)).copied().unwrap_or_default();
+        self.outcome.insufficient_lag.push(self.now - failed_at.max(self.extra_sent_at[host]).max(passed));
+    }
 }
 
 fn view(plan: &Plan, host: usize) -> view::View {
