--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! Each system has its own module: `admit` (limits and refusals), `choose` (replica selection, by [`estimate`]),
 //! `dispatch` (sending, per-server queues, retries), [`warm_up`] (servers that have just started),
-//! `suspect` (requests that crash servers), `hedge` (silent attempts), `gather` (snapshots, coverage,
-//! answers) and `observe` (reports on servers that deviate from the usual).
+//! `suspect` (requests that crash servers), [`repeats`] and `judge` (the plan of repeats), `hedge` (silent
+//! attempts), `gather` (snapshots, coverage, answers) and `observe` (reports on servers that deviate from the usual).
 
 mod admit;
 mod capacity;
@@ -21,12 +21,14 @@
 mod fleet;
 mod gather;
 mod hedge;
+mod judge;
 mod key;
 pub mod note;
 mod observe;
 pub mod policy;
 mod query;
 mod relay;
+pub mod repeats;
 mod server;
 mod standing;
 pub mod summary;
@@ -85,6 +87,8 @@
     /// Queries that run as a trial or wait for the grant of one, by request fingerprint.
     trials: IndexMap<crate::suspect::Fingerprint, id::Query>,
     fleet: fleet::Fleet,
+    /// Searches that wait for tokens or are to be planned.
+    agenda: judge::Agenda,
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
@@ -120,6 +124,7 @@
             answered: suspect::Answered::default(),
             trials: IndexMap::new(),
             fleet,
+            agenda: judge::Agenda::default(),
             ejected: 0,
             standings: Arc::default(),
             report: standing::Report::default(),
@@ -150,7 +155,9 @@
         for input in inputs {
             self.apply(input);
         }
+        self.plan_due();
         self.admit_waiting();
+        self.plan_due();
         self.report_standings();
         std::mem::take(&mut self.outputs)
     }
@@ -235,9 +242,13 @@
         while let Some(timer) = self.timers.pop(self.now) {
             match timer {
                 Timer::Deadline(query) => self.on_deadline(query),
-                Timer::Settle(query) => self.settle(query),
+                Timer::Settle(query) => {
+                    self.plan_if_unplanned(query);
+                    self.settle(query);
+                }
                 Timer::Hedge(query) => self.hedge(query),
                 Timer::Retry(query, shard_index) => self.on_backoff_end(query, shard_index),
+                Timer::Plan => self.on_plan_timer(),
                 Timer::SendWaiting(server) => self.send_waiting(server),
                 Timer::ConnectionClosed(server) => self.release(server),
                 Timer::TrialTimeout(query) => self.on_trial_timeout(query),
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -84,9 +84,12 @@
     /// Whether all replicas of a shard are compared by the expected time to a usable answer, which takes the place of
     /// `two_choices` and `prefer_room`. Default false.
     pub expected_time: bool,
-    /// Number of open replicas from which a shard is subject to `expected_time`. Default 3: of two, the other one is
-    /// what the first repeat uses anyway.
-    pub min_replicas: u32,
+    /// Minimum number of open replicas of a shard for `expected_time` and `plan_repeats` to apply. Default 3: with
+    /// two, the only alternative is the one that the first repeat uses anyway.
+    pub min_replicas: u8,
+    /// Whether repeats are planned for a search as a whole: one that cannot reach its least coverage ends at once, and
+    /// extra attempts go where they make a search complete in time. Default false.
+    pub plan_repeats: bool,
     /// This host's share of the fleet-wide bound on extra attempts at each service. Default none.
     pub fleet: Option<Fleet>,
 }
@@ -145,6 +148,7 @@
             far_cost: 1.0,
             expected_time: false,
             min_replicas: 3,
+            plan_repeats: false,
             fleet: None,
         }
     }
--- a/crates/core/tests/simulated_faults.rs
+++ b/crates/core/tests/simulated_faults.rs
@@ -1,6 +1,6 @@
 //! Utility of answers in a simulated deployment under faults, pauses and overload.
 
-#[expect(unreachable_pub, reason = "a module of this test alone")]
+#[expect(unreachable_pub, dead_code, reason = "a module of tests, each of which uses a part")]
 mod simulation;
 
 use indexmap::IndexMap;
@@ -257,7 +257,7 @@
     #[case] min_in_time: f64,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let plan = Plan { measured_from: 6000, data_centres, ..three_data_centres() };
+    let plan = Plan { measured: (6000, u64::MAX), data_centres, ..three_data_centres() };
     let plan = with_faults_in_each_shard(plan, count, LeafFault::Refusing(0.6));
     let outcome = simulation::run(plan, &choice_policy(true), seed);
     let in_time = outcome.in_time as f64 / outcome.requests as f64;
@@ -308,7 +308,7 @@
 #[case::one_data_centre(1)]
 #[case::three_data_centres(3)]
 fn standings_of_rejecting_replicas_keep_searches_complete(#[case] data_centres: usize, #[values(1, 2, 3)] seed: u64) {
-    let plan = Plan { measured_from: 6000, data_centres, ..three_data_centres() };
+    let plan = Plan { measured: (6000, u64::MAX), data_centres, ..three_data_centres() };
     let mut plan = with_faults_in_each_shard(plan, 2, LeafFault::Refusing(0.6));
     let standings = plan.injections.iter().map(|injection| rejecting(injection.leaf)).collect();
     plan.standings.push((6000, standings));
@@ -330,14 +330,14 @@
     plan.standings.push((11_000, IndexMap::new()));
     let outcome = simulation::run(plan.clone(), &choice_policy(true), seed);
     assert!(outcome.in_time * 100 >= outcome.requests * 98, "{} of {} in time", outcome.in_time, outcome.requests);
-    let outcome = simulation::run(Plan { measured_from: 11_500, ..plan }, &choice_policy(true), seed);
+    let outcome = simulation::run(Plan { measured: (11_500, u64::MAX), ..plan }, &choice_policy(true), seed);
     assert!(outcome.far_ratio < 0.13, "far ratio {:.3}", outcome.far_ratio);
 }
 
 /// Without evidence from other hosts, near replicas are used again some seconds after the end of a fault.
 #[rstest]
 fn near_replicas_are_used_again_after_a_fault(#[values(1, 2)] seed: u64) {
-    let plan = Plan { seconds: 32, measured_from: 25_000, ..three_data_centres() };
+    let plan = Plan { seconds: 32, measured: (25_000, u64::MAX), ..three_data_centres() };
     let plan = with_faults_in_each_shard(plan, 2, LeafFault::Refusing(0.6));
     let outcome = simulation::run(plan, &choice_policy(true), seed);
     assert!(outcome.far_ratio < 0.13, "far ratio {:.3}", outcome.far_ratio);
@@ -348,7 +348,7 @@
 #[rstest]
 #[case::two_replicas(Plan { data_centres: 2, ..Plan::default() }.with_faulty_replicas(7, LeafFault::Refusing(0.6)), 3)]
 #[case::more_replicas_required(Plan { seconds: 9, ..three_data_centres() }, 4)]
-fn decisions_are_unchanged_below_the_least_number_of_replicas(#[case] plan: Plan, #[case] min_replicas: u32) {
+fn decisions_are_unchanged_below_the_least_number_of_replicas(#[case] plan: Plan, #[case] min_replicas: u8) {
     let [off, on] = [false, true].map(|expected_time| {
         let policy = policy::Policy { min_replicas, ..choice_policy(expected_time) };
         format!("{:?}", simulation::run(plan.clone(), &policy, 5))
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -148,6 +148,13 @@
             ("far_choices", stats.far_choices as i64),
             ("standing_choices", stats.standing_choices as i64),
             ("observed", stats.observed as i64),
+            ("hopeless", stats.hopeless as i64),
+            ("tokens_complete", stats.tokens_complete as i64),
+            ("tokens_coverage", stats.tokens_coverage as i64),
+            ("tokens_late", stats.tokens_late as i64),
+            ("tokens_withheld", stats.tokens_withheld as i64),
+            ("denied_by_class", stats.denied_by_class as i64),
+            ("denied_by_service", stats.denied_by_service as i64),
         ];
         for (name, value) in gauges {
             self.lane.with_label_values(&[lane.as_str(), name]).set(value);
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -121,6 +121,8 @@
 #[case::band("traffic: {score_band: 0.5}", "`traffic.score_band` is below 1")]
 #[case::replicas("traffic: {min_replicas: 1}", "`traffic.min_replicas` is below 2")]
 #[case::far("traffic: {expected_time: true, far_cost: 0.5}", "`traffic.far_cost` is below 1")]
+#[case::no_replicas("traffic: {plan_repeats: true, min_replicas: 0}", "`traffic.min_replicas` is below 2")]
+#[case::repeats("traffic: {plan_repeats: 1}", "invalid boolean")]
 #[case::quantile("traffic: {hedge_quantile: 1.2}", "is no quantile")]
 #[case::silence("traffic: {silence_quantile: 0}", "is no quantile")]
 #[case::region("regions: {north: \"\"}", "without a name")]
