Choose gathering hosts by demand and strength

Every host with half of the strongest one's processor gathered, 19 of 24 in the first deployment, each with two connections to each leaf. Neither demand nor strength decided how many.

Nothing uses the module yet.

--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -14,6 +14,7 @@
 
 mod check;
 mod compile;
+pub mod gatherers;
 pub mod owner;
 mod relay;
 mod routing;
--- a/crates/core/src/plan/owner.rs
+++ b/crates/core/src/plan/owner.rs
@@ -18,7 +18,7 @@
 use crate::rendezvous;
 
 /// Fraction of a server's connections for owners; the rest is reserved for standbys, if there are any.
-const OWNERS_FRACTION: f64 = 0.75;
+pub(super) const OWNERS_FRACTION: f64 = 0.75;
 /// Minimum connections of an owner to each server: one in use and one for a concurrent second request.
 const MIN_OWNER_CONNECTIONS: f64 = 2.0;
 /// Minimum processing capacity of an owner, as a fraction of the strongest host's. The slowest part of a
