Publish the demand of each host and gather with as many as it needs

Each host took its part of the gathers whatever the demand was, because no host knew the demand of the others.

A lane measures the gathers that callers send to it, and reports a new step at most once a second. The control core publishes the sum in the member record, with a new incarnation number, and sends the record at once to the hosts that may hold connections; digests bring it to the others. With `control.gatherers` (absent: off) the hosts in force follow the choice of `plan::gatherers`. A host that is silent or leaves is replaced at once by one that qualifies, with the connections that it has. While a known host publishes no demand, such as one of the previous version, all decide as before. Changes are logged; status, `shallotctl status` and metrics show demand and hosts.

The simulated fleet creates the core of a restarted host at the time at which its process starts, not when the earlier one is killed: it had counted the downtime as its age and was settled at once.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -267,6 +267,7 @@
                 event::Output::Breach(breach) => panic!("{breach:?}"),
                 event::Output::Trim { .. }
                 | event::Output::Revalidate
+                | event::Output::Demand { .. }
                 | event::Output::Crashed(_)
                 | event::Output::RequestTrial(_)
                 | event::Output::TrialUnused(_)
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, invariant, plan, suspect, view};
+use crate::{catalog, clock, invariant, plan, plan::gatherers, suspect, view};
 
 use super::{message, mirror, note};
 
@@ -60,6 +60,13 @@
     TrialUnused(suspect::Trial),
     /// An operator cleared a suspected request on this host.
     Release(suspect::Fingerprint),
+    /// The rate of gathers that callers send to a lane changed.
+    Demand {
+        /// Index of the lane.
+        lane: u32,
+        /// The new rate.
+        demand: gatherers::Demand,
+    },
 }
 
 /// An action for the shell to perform.
@@ -169,4 +176,10 @@
     pub servers: u64,
     /// Of these, the ones that are missing from the list of hosts and still get requests.
     pub servers_held: u64,
+    /// Times that the gathering hosts of a set of shards changed.
+    pub gatherer_changes: u64,
+    /// Hosts that gather, now; of the set of shards with most of them. 0 if they are not chosen by demand.
+    pub gatherers: u64,
+    /// The gathers that callers send to this host, as published to other hosts.
+    pub demand: gatherers::Demand,
 }
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -71,6 +71,21 @@
         }))
     }
 
+    /// Sends this host's member record, without requesting a reply.
+    pub(super) fn send_local_member(&mut self, to: CompactString) {
+        let body = message::Body::Digest(Box::new(message::Digest {
+            members: vec![self.local_member()],
+            known: self.members.count() as u32,
+            suspects: self.suspects.table.digest(),
+            is_away: self.registry.held.is_registry_unreachable(),
+            complete_to: self.complete_to,
+            stamps: [self.replicas[0].stamp, self.replicas[1].stamp],
+            ages: [self.age(catalog::Kind::Config), self.age(catalog::Kind::Hosts)],
+            ..message::Digest::default()
+        }));
+        self.send(to, body);
+    }
+
     /// The members to include in a digest to `recipient`, and this host.
     fn digest_members(&mut self, recipient: &member::Recipient<'_>) -> Vec<message::Member> {
         if matches!(self.reader.source, Source::Documents) {
@@ -90,6 +105,7 @@
             power: self.identity.power,
             incarnation: self.incarnation,
             packs: true,
+            demand: self.gatherers.published,
             state: if self.is_leaving { message::State::Leaving } else { message::State::Alive },
         }
     }
@@ -114,6 +130,7 @@
             self.outputs.push(Output::Note(note::Note::Replied { peer: from.clone() }));
         }
         let mut has_changed = has_recovered;
+        let mut has_demand = false;
         let mut joined = Vec::new();
         for member in members {
             if member.peer == self.identity.peer {
@@ -122,6 +139,7 @@
             }
             let change = self.members.merge(self.now, member);
             has_changed |= change == member::Change::Updated;
+            has_demand |= change == member::Change::Demand;
             if change == member::Change::Joined {
                 joined.push(member.name.clone());
             }
@@ -136,6 +154,9 @@
             self.refresh_peers();
             self.schedule_compile(COMPILE_PAUSE);
         }
+        if has_demand {
+            self.schedule_choice();
+        }
     }
 
     /// Refutes an outdated or false record of this host with a higher incarnation number, which takes precedence.
@@ -145,6 +166,10 @@
         if member.incarnation > self.incarnation || member.incarnation == self.incarnation && is_wrong {
             self.incarnation = member.incarnation + 1;
         }
+        // Another host had incremented the number before this one published a lower demand with the same number.
+        if member.incarnation == self.incarnation && member.demand > self.gatherers.published {
+            self.incarnation += 1;
+        }
     }
 
     /// Handles members that did not reply: marks them silent or probes them again, and removes expired ones.
@@ -342,6 +367,7 @@
     fn on_digest(&mut self, from: CompactString, digest: &message::Digest) {
         if matches!(self.reader.source, Source::Registry { .. }) {
             self.merge_members(&from, &digest.members);
+            self.record_known_members(digest.known as usize);
             if self.members.set_registry_unreachable(&from, digest.is_away) {
                 self.refresh_peers();
             }
--- a/crates/core/src/control/member.rs
+++ b/crates/core/src/control/member.rs
@@ -44,8 +44,10 @@
 #[derive(Clone, Debug)]
 struct Record {
     member: message::Member,
-    /// When this host last learnt of a change of its state.
+    /// When this host last learnt of a change of its state or demand.
     changed_at: clock::Millis,
+    /// The same for its demand alone; `None` before the first change.
+    demand_changed_at: Option<clock::Millis>,
     /// Number of digests in which it was sent since its last update.
     times_sent: u32,
     /// Consecutive probes without a reply.
@@ -65,6 +67,8 @@
     Joined,
     /// Its state or CPU capacity changed.
     Updated,
+    /// Only its demand changed.
+    Demand,
 }
 
 /// The recipient of a digest, as far as it affects which members are included.
@@ -117,10 +121,12 @@
     xxh3::xxh3_64(peer.as_bytes()) as usize % bucket_count.max(1)
 }
 
-/// A digest of `member`'s address, incarnation and state. The digests of a bucket are combined by XOR, so that
-/// order does not matter.
+/// A digest of `member`'s address, incarnation, state and demand. The digests of a bucket are combined by XOR, so that
+/// order does not matter. Nodes of earlier versions do not include the demand, so their digests differ from those of
+/// hosts that know one; each digest then carries [`MAX_MEMBERS`] records.
 fn member_digest(member: &message::Member) -> u32 {
     let seed = member.incarnation << 2 | member.state as u64;
+    let seed = seed ^ u64::from(member.demand.0) << 32;
     xxh3::xxh3_64_with_seed(member.peer.as_bytes(), seed) as u32
 }
 
@@ -187,6 +193,7 @@
             let record = Record {
                 member,
                 changed_at: now,
+                demand_changed_at: None,
                 times_sent: 0,
                 unanswered_probes: 0,
                 probed_at: None,
@@ -196,19 +203,24 @@
             self.records.insert(record.member.peer.clone(), record);
             return Change::Joined;
         };
-        let is_newer = (member.incarnation, member.state) > (record.member.incarnation, record.member.state);
-        if !is_newer {
+        // A host of an earlier version that passed on a record dropped its demand.
+        let order = |member: &message::Member| (member.incarnation, member.state, member.demand);
+        if order(member) <= order(&record.member) {
             return Change::None;
         }
         let is_changed = record.member.state != member.state || record.member.power != member.power;
+        let is_demand_changed = record.member.demand != member.demand;
         record.member = member.clone();
         record.times_sent = 0;
         self.bucket_digests = None;
-        if !is_changed {
+        if !is_changed && !is_demand_changed {
             return Change::None;
         }
         record.changed_at = now;
-        Change::Updated
+        if is_demand_changed {
+            record.demand_changed_at = Some(now);
+        }
+        if is_changed { Change::Updated } else { Change::Demand }
     }
 
     /// Whether the member at `peer` is silent or has unanswered probes.
@@ -346,6 +358,7 @@
                 address: member.relay.clone(),
                 power: member.power,
                 is_open: member.state == message::State::Alive,
+                demand: member.demand,
             });
         }
         relays
@@ -373,6 +386,7 @@
             Recipient::Known { differing, .. } => (MAX_MEMBERS, "", differing),
         };
         let mut candidates: Vec<(bool, u32, u32, usize)> = Vec::with_capacity(self.records.len());
+        let mut changed_demands = 0;
         for (index, (peer, record)) in self.records.iter().enumerate() {
             let is_selected = match (recipient, differing) {
                 (Recipient::Unknown, _) => now.since(record.changed_at) <= CHANGE_GOSSIP_TIME,
@@ -382,10 +396,13 @@
             if !is_selected {
                 continue;
             }
+            changed_demands +=
+                usize::from(record.demand_changed_at.is_some_and(|at| now.since(at) <= CHANGE_GOSSIP_TIME));
             let is_near = record.member.data_centre == near_to;
             candidates.push((!is_near, record.times_sent, random.random(), index));
         }
-        let limit = limit.min(candidates.len());
+        // When load rises everywhere, the demand of most hosts changes within seconds.
+        let limit = limit.max(changed_demands.min(MAX_MEMBERS_TO_LAGGING)).min(candidates.len());
         if limit > 0 && limit < candidates.len() {
             candidates.select_nth_unstable(limit - 1);
         }
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, suspect, view};
+use crate::{catalog, clock, plan::gatherers, suspect, view};
 
 /// The protocol version, incremented when older nodes can no longer decode a message.
 pub const PROTOCOL: u16 = 1;
@@ -107,6 +107,9 @@
     pub incarnation: u64,
     /// Whether it accepts compressed messages.
     pub packs: bool,
+    /// The gathers that callers send to it; none from nodes that do not choose gathering hosts by demand. It changes
+    /// only with the incarnation number.
+    pub demand: gatherers::Demand,
     /// Last known state. Between records of the same incarnation, the later variant takes precedence.
     pub state: State,
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! and the last valid one stays in force.
 
 mod event;
+mod gatherers;
 mod gossip;
 mod history;
 mod hold;
@@ -40,7 +41,7 @@
 use replica::{Announcement, Replica};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, id, plan, suspect, view};
+use crate::{catalog, clock, id, plan, plan::gatherers::transition, suspect, view};
 
 /// The identity of this host and its static settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -139,6 +140,7 @@
     incarnations: incarnation::Incarnations,
     restore_overrides: restored::Overrides,
     suspects: suspects::Suspects,
+    gatherers: gatherers::Gatherers,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     standing: Standing,
@@ -185,6 +187,7 @@
             incarnations: incarnation::Incarnations::default(),
             restore_overrides: restored::Overrides::default(),
             suspects: suspects::Suspects::default(),
+            gatherers: gatherers::Gatherers::default(),
             gossip_at: now,
             started_at: now,
             standing: match reader.source {
@@ -198,6 +201,7 @@
             outputs: Vec::new(),
             stats: Stats::default(),
         };
+        core.publish_lowest_demand();
         core.refresh_peers();
         core
     }
@@ -217,6 +221,8 @@
         self.notify_waiting();
         self.announce();
         self.gossip_suspects();
+        self.publish_demand();
+        self.choose_if_due();
         self.compile_if_due();
         self.count_outputs()
     }
@@ -227,7 +233,7 @@
             Source::Documents => self.now,
             Source::Registry { .. } => {
                 let compile = self.compile_at.unwrap_or(clock::Millis::MAX);
-                let outgoing = self.spread_timer().min(self.suspects_timer());
+                let outgoing = self.spread_timer().min(self.suspects_timer()).min(self.gatherers_timer());
                 self.gossip_at.min(self.reply_check_at).min(outgoing).min(self.registry_timer()).min(compile)
             }
         }
@@ -249,6 +255,7 @@
             Input::RequestTrial(trial) => self.request_trial(trial),
             Input::TrialUnused(trial) => self.on_trial_unused(trial),
             Input::Release(fingerprint) => self.on_release(fingerprint),
+            Input::Demand { lane, demand } => self.on_demand(lane, demand),
         }
     }
 
@@ -288,6 +295,11 @@
         self.members.states()
     }
 
+    /// The hosts that gather for each set of shards; empty if they are not chosen by demand.
+    pub fn gathering(&self) -> impl Iterator<Item = &transition::Gathering> {
+        self.gatherers.transitions.all()
+    }
+
     /// This host's records of requests that may crash servers.
     pub fn suspects(&self) -> Vec<suspect::Record> {
         self.suspects.table.records(self.now)
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::{catalog, clock, plan, revision, suspect, view};
+use crate::{catalog, clock, plan, plan::gatherers::transition, revision, suspect, view};
 
 /// An event for the host's log.
 #[derive(Clone, Debug, PartialEq)]
@@ -133,4 +133,6 @@
     Cleared(suspect::Fingerprint),
     /// An entry could not be parsed and is ignored.
     Unreadable(plan::Fault),
+    /// The hosts that gather for a set of shards changed.
+    Gathering(transition::Gathering),
 }
--- a/crates/core/src/control/policy.rs
+++ b/crates/core/src/control/policy.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock;
+use crate::{clock, plan::gatherers};
 
 /// Tuning parameters of the control core.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -43,6 +43,8 @@
     pub warm_up_overage: f64,
     /// Additional requests that all hosts together may send to such a server. Default 0.
     pub warm_up_slack: f64,
+    /// How many hosts gather, by demand and strength. Default none: all that are strong enough gather.
+    pub gatherers: Option<gatherers::Policy>,
 }
 
 impl Default for Policy {
@@ -61,6 +63,7 @@
             serve_on: clock::Millis(3000),
             warm_up_overage: 1.0,
             warm_up_slack: 0.0,
+            gatherers: None,
         }
     }
 }
--- a/crates/core/src/control/views.rs
+++ b/crates/core/src/control/views.rs
@@ -16,6 +16,15 @@
 /// leaving or silent must stop quickly.
 pub(super) const JOINED_PAUSE: clock::Millis = clock::Millis(500);
 
+/// What a view is compiled from besides catalogs.
+pub(super) struct Inputs {
+    held: Vec<plan::Leaf>,
+    restarted: Vec<plan::Leaf>,
+    relays: Vec<plan::Relay>,
+    local: plan::Relay,
+    evacuated: plan::Part,
+}
+
 impl Core {
     /// Compiles the view if a scheduled compilation is due. Changes of members are batched because each digest brings
     /// some while many hosts start.
@@ -41,45 +50,65 @@
             self.servers.clear_marks();
         }
         let stamps = [self.replicas[0].stamp, self.replicas[1].stamp];
-        let held = self.registry.held.leaves();
-        let restarted = self.incarnations.restarted();
+        let inputs = self.inputs();
+        self.choose_gatherers(&inputs);
+        let mut servers = std::mem::take(&mut self.servers);
+        let view = Arc::new(plan::compile(stamps, self.parts(&inputs), self.fleet(&inputs), &mut servers));
+        self.servers = servers;
+        self.log_evacuations(&view);
+        self.stats.entries = self.replicas[catalog::Kind::Hosts.index()].current.manifest.parts.len() as u64;
+        self.stats.servers = view.servers.iter().flatten().filter(|server| !server.is_peer).count() as u64;
+        self.stats.servers_held = inputs.held.len() as u64;
+        self.view = Some(Arc::clone(&view));
+        self.refresh_peers();
+        self.outputs.push(Output::View(view));
+    }
+
+    /// What a view is compiled from besides catalogs.
+    pub(super) fn inputs(&self) -> Inputs {
+        Inputs {
+            held: self.registry.held.leaves(),
+            restarted: self.incarnations.restarted(),
+            relays: self.members.relays(),
+            local: plan::Relay {
+                name: self.identity.name.clone(),
+                data_centre: self.identity.data_centre.clone(),
+                address: self.identity.relay.clone(),
+                power: self.identity.power,
+                is_open: true,
+                demand: self.gatherers.published,
+            },
+            evacuated: plan::Part::Evacuation(self.restore_overrides.evacuated()),
+        }
+    }
+
+    /// The parts of both catalogs that are in use.
+    pub(super) fn parts<'p>(&'p self, inputs: &'p Inputs) -> impl Iterator<Item = &'p plan::Part> {
+        let overrides = &self.restore_overrides;
+        let is_used =
+            move |part: &&plan::Part| !matches!(part, plan::Part::Leaf(leaf) if overrides.is_removed(&leaf.name));
+        let parts = self.replicas.iter().flat_map(|replica| replica.parsed.values()).map(|part| &**part);
+        parts.filter(is_used).chain(iter::once(&inputs.evacuated))
+    }
+
+    pub(super) fn fleet<'p>(&'p self, inputs: &'p Inputs) -> plan::Fleet<'p> {
         let members = match self.reader.source {
             Source::Documents => 0,
             Source::Registry { .. } => self.members.count().max(self.identity.seeds.len()) as u32,
         };
-        let relays = self.members.relays();
-        let local = plan::Relay {
-            name: self.identity.name.clone(),
-            data_centre: self.identity.data_centre.clone(),
-            address: self.identity.relay.clone(),
-            power: self.identity.power,
-            is_open: true,
-        };
-        let evacuated = plan::Part::Evacuation(self.restore_overrides.evacuated());
-        let is_settled = self.standing == Standing::Settled;
         let tolerance = view::Tolerance { overage: self.policy.warm_up_overage, slack: self.policy.warm_up_slack };
-        let fleet = plan::Fleet {
-            local: Some(&local),
+        let transitions = &self.gatherers.transitions;
+        plan::Fleet {
+            local: Some(&inputs.local),
             members,
-            is_settled,
-            relays: &relays,
-            held: &held,
-            restarted: &restarted,
+            is_settled: self.standing == Standing::Settled,
+            relays: &inputs.relays,
+            held: &inputs.held,
+            restarted: &inputs.restarted,
             tolerance,
             regions: Some(&self.identity.regions),
-        };
-        let overrides = &self.restore_overrides;
-        let is_used = |part: &&plan::Part| !matches!(part, plan::Part::Leaf(leaf) if overrides.is_removed(&leaf.name));
-        let parts = self.replicas.iter().flat_map(|replica| replica.parsed.values()).map(|part| &**part);
-        let parts = parts.filter(is_used).chain(iter::once(&evacuated));
-        let view = Arc::new(plan::compile(stamps, parts, fleet, &mut self.servers));
-        self.log_evacuations(&view);
-        self.stats.entries = self.replicas[catalog::Kind::Hosts.index()].current.manifest.parts.len() as u64;
-        self.stats.servers = view.servers.iter().flatten().filter(|server| !server.is_peer).count() as u64;
-        self.stats.servers_held = held.len() as u64;
-        self.view = Some(Arc::clone(&view));
-        self.refresh_peers();
-        self.outputs.push(Output::View(view));
+            gatherers: self.policy.gatherers.as_ref().map(|policy| plan::Gatherers { policy, transitions }),
+        }
     }
 
     /// Logs the evacuated data centres when they change.
--- a/crates/core/src/plan/compile.rs
+++ b/crates/core/src/plan/compile.rs
@@ -6,7 +6,8 @@
 use crate::{id, mutant, view};
 
 use super::{
-    BackendServer, EntryHost, Leaf, Part, Regions, Relay, Selector, Server, Service, State, WarmUp, routing, targets,
+    BackendServer, EntryHost, Leaf, Part, Regions, Relay, Selector, Server, Service, State, WarmUp, gatherers,
+    gatherers::transition, routing, targets,
 };
 
 /// Limit on connections to a server from a host that is not settled. After a restart of the whole fleet each host
@@ -33,6 +34,48 @@
     pub tolerance: view::Tolerance,
     /// The region of each data centre, if known.
     pub regions: Option<&'l Regions>,
+    /// How gathering hosts are chosen by demand; `None` if they are not.
+    pub gatherers: Option<Gatherers<'l>>,
+}
+
+/// How gathering hosts are chosen by demand, and those that are in force.
+#[derive(Clone, Copy, Debug)]
+pub struct Gatherers<'l> {
+    /// The parameters of the choice.
+    pub policy: &'l gatherers::Policy,
+    /// The choices in force.
+    pub transitions: &'l transition::Transitions,
+}
+
+/// The gathering hosts of each set of shards by what this host knows now; see [`transition::Transitions::update`].
+pub fn gathering_choices<'p>(parts: impl IntoIterator<Item = &'p Part>, fleet: Fleet<'p>) -> Vec<transition::Fresh> {
+    let mut leaves = IndexMap::new();
+    let mut routings = Vec::new();
+    for part in parts {
+        match part {
+            Part::Routing(routing) => routings.push(routing),
+            Part::Leaf(leaf) => {
+                leaves.insert(&leaf.name, leaf);
+            }
+            _ => {}
+        }
+    }
+    add_unlisted(&mut leaves, &fleet);
+    let mut choices = Vec::new();
+    for routing in routings {
+        choices.extend(routing::assignments(routing, &leaves, &fleet).into_values().map(|held| held.into_fresh()));
+    }
+    choices
+}
+
+/// Adds the servers that differ from the listed ones.
+fn add_unlisted<'l>(leaves: &mut IndexMap<&'l CompactString, &'l Leaf>, fleet: &Fleet<'l>) {
+    for leaf in fleet.held {
+        leaves.entry(&leaf.name).or_insert(leaf);
+    }
+    for leaf in fleet.restarted {
+        leaves.insert(&leaf.name, leaf);
+    }
 }
 
 /// Compiles accepted parts to a view. Leaving marks are added to `registry` and read from it, so that
@@ -72,12 +115,7 @@
             Part::Unreadable(_) => {}
         }
     }
-    for leaf in fleet.held {
-        leaves.entry(&leaf.name).or_insert(leaf);
-    }
-    for leaf in fleet.restarted {
-        leaves.insert(&leaf.name, leaf);
-    }
+    add_unlisted(&mut leaves, &fleet);
     let mut view = view::View {
         stamp: stamps[0],
         hosts_revision: stamps[1],
--- a/crates/core/src/plan/gatherers.rs
+++ b/crates/core/src/plan/gatherers.rs
@@ -203,6 +203,12 @@
         Self { tiers, reserves: reserves.to_vec(), reason, shares }
     }
 
+    /// Each of `count` hosts gathers for its own callers, because none is in a permitted region.
+    pub(super) fn without_candidates(count: usize) -> Self {
+        let tiers = owner::Tiers { owners: (0..count).collect(), standbys: Vec::new() };
+        Self::all(tiers, Reason::AllNeeded)
+    }
+
     /// The share, from 0 to 1, of fleet-wide limits for the candidate at `index`.
     pub fn limit_share(&self, index: usize) -> f64 {
         self.shares.get(index).copied().unwrap_or_else(|| self.tiers.limit_share(index))
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -20,7 +20,7 @@
 mod routing;
 
 pub use check::check;
-pub use compile::{Fleet, compile};
+pub use compile::{Fleet, Gatherers, compile, gathering_choices};
 pub use relay::Relay;
 pub use routing::{Destination, Leaf, Route, Routing, Upstream};
 
--- a/crates/core/src/plan/routing.rs
+++ b/crates/core/src/plan/routing.rs
@@ -245,10 +245,10 @@
 }
 
 /// The shards of a gather and the home regions of its route, which together identify its assignment.
-type GatherKey<'r> = (&'r [CompactString], &'r [CompactString]);
+pub(super) type GatherKey<'r> = (&'r [CompactString], &'r [CompactString]);
 
 /// The assignments of the gathers to hosts, by shards and home regions.
-fn assignments<'r>(
+pub(super) fn assignments<'r>(
     routing: &'r Routing,
     leaves: &IndexMap<&CompactString, &Leaf>,
     fleet: &Fleet<'_>,
@@ -275,7 +275,7 @@
         let set_key = services.first().map_or("", CompactString::as_str);
         let accepted = services.iter().filter_map(|service| connections.get(service)).min().copied().unwrap_or(1);
         let gather = relay::Gather { set_key, services, homes: &route.homes, connections: accepted };
-        let assignment = relay::Assignment::new(&gather, &by_service, local, fleet.relays, fleet.regions);
+        let assignment = relay::Assignment::new(&gather, &by_service, local, fleet);
         assignments.insert(key, assignment);
     }
     assignments
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -37,6 +37,10 @@
             self.refuse(&request, event::Code::UnknownClass, None, why::Why::CodeOnly);
             return;
         };
+        let is_gather = class.branches.iter().any(|branch| branch.targets.len() > 1);
+        if is_gather && request.relayed.is_none() {
+            self.demand.record();
+        }
         let trial = match self.hold(&request) {
             suspect::Hold::None => query::Trial::None,
             suspect::Hold::Granted => query::Trial::Granted,
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, evidence, id, invariant, suspect, view};
+use crate::{clock, evidence, id, invariant, plan::gatherers, suspect, view};
 
 use super::{note, why};
 
@@ -205,6 +205,13 @@
         /// Its address, `IP:PORT`.
         address: CompactString,
     },
+    /// Report that the step of the rate of gathers from callers changed; at most once a second.
+    Demand {
+        /// Index of this lane.
+        lane: u32,
+        /// The new rate.
+        demand: gatherers::Demand,
+    },
     /// Log and count the violation of an invariant.
     Breach(invariant::Breach),
     /// Log a decision.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod capacity;
 mod choose;
 mod class;
+mod demand;
 mod dispatch;
 pub mod event;
 mod finish;
@@ -82,6 +83,7 @@
     /// Queries that run as a trial or wait for the grant of one, by request fingerprint.
     trials: IndexMap<crate::suspect::Fingerprint, id::Query>,
     fleet: fleet::Fleet,
+    demand: demand::Meter,
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
@@ -115,6 +117,7 @@
             answered: suspect::Answered::default(),
             trials: IndexMap::new(),
             fleet,
+            demand: demand::Meter::new(now),
             ejected: 0,
             standings: Arc::default(),
             paused_at: None,
@@ -144,6 +147,7 @@
             self.apply(input);
         }
         self.admit_waiting();
+        self.report_demand();
         std::mem::take(&mut self.outputs)
     }
 
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -320,6 +320,9 @@
                 self.at(self.now, Event::Control { host, life, input: control::Input::TrialUnused(trial) });
             }
             event::Output::Probe { .. } => panic!("no request of this simulation has a fingerprint"),
+            event::Output::Demand { lane, demand } => {
+                self.at(self.now, Event::Control { host, life, input: control::Input::Demand { lane, demand } });
+            }
             event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
                 self.oracle.breach(breach.name.as_str(), format!("by the program: {}", breach.detail));
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -92,6 +92,7 @@
                 address: format_compact!("{region}-{host}:7391"),
                 power: if host < 2 { 500 } else { 120 },
                 is_open: true,
+                demand: plan::gatherers::Demand::NONE,
             });
         }
     }
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -197,6 +197,14 @@
     stalled: IndexMap<(usize, usize), u64>,
     /// Size of a message on the wire, in bytes; the flag states whether it may be packed.
     message_size: fn(&message::Message, bool) -> usize,
+    /// CPU capacity of the hosts, in thousandths of a core; 250 for hosts that it does not list.
+    powers: Vec<u32>,
+    /// Hosts of the previous version, which neither choose gathering hosts by demand nor know the field of it.
+    pub old_hosts: IndexSet<usize>,
+    /// Hosts that exchange no messages with those that are not in this set.
+    pub split: IndexSet<usize>,
+    /// Hosts whose messages, in both directions, take this much longer, in ms.
+    pub delays: IndexMap<usize, u64>,
 }
 
 fn revision(event: &mirror::Event) -> u64 {
@@ -211,6 +219,14 @@
     (item.text.len() * 4 / 3 + item.key.len() + 90) as u64
 }
 
+/// A message as a host of the previous version encodes or decodes it.
+fn without_demand(mut message: message::Message) -> message::Message {
+    if let message::Body::Digest(digest) = &mut message.body {
+        digest.members.iter_mut().for_each(|member| member.demand = plan::gatherers::Demand::NONE);
+    }
+    message
+}
+
 /// The peer address of a host.
 pub fn peer(host: usize) -> CompactString {
     format_compact!("10.0.{}.{}:7000", host / 250, host % 250)
@@ -227,6 +243,18 @@
 impl Fleet {
     /// `hosts` hosts over `data_centres` data centres, all started within 300 ms.
     pub fn new(hosts: usize, data_centres: usize, policy: &control::Policy, seed: u64) -> Self {
+        Self::with_differing_hosts(hosts, data_centres, policy, seed, Vec::new(), IndexSet::new())
+    }
+
+    /// The same with hosts of different `powers`, of which `old_hosts` are of the previous version.
+    pub fn with_differing_hosts(
+        hosts: usize,
+        data_centres: usize,
+        policy: &control::Policy,
+        seed: u64,
+        powers: Vec<u32>,
+        old_hosts: IndexSet<usize>,
+    ) -> Self {
         let mut fleet = Self {
             now: 1,
             store: Store::default(),
@@ -241,9 +269,13 @@
             allows_refusals: false,
             stalled: IndexMap::new(),
             message_size: |_, _| 0,
+            powers,
+            old_hosts,
+            split: IndexSet::new(),
+            delays: IndexMap::new(),
         };
         for host in 0..hosts {
-            let core = fleet.new_core(host);
+            let core = fleet.new_core(host, fleet.now);
             fleet.hosts.push(Host {
                 core,
                 incarnation: 0,
@@ -267,7 +299,8 @@
         self
     }
 
-    fn new_core(&mut self, host: usize) -> control::Core {
+    /// The core of a process that starts at `now`.
+    fn new_core(&mut self, host: usize, now: u64) -> control::Core {
         let identity = control::Identity {
             name: format_compact!("host-{host}"),
             data_centre: format_compact!("dc-{}", host % self.data_centres),
@@ -275,9 +308,13 @@
             seeds: (0..3).map(peer).collect(),
             relay: format_compact!("10.0.{}.{}:7391", host / 250, host % 250),
             regions: Default::default(),
-            power: 250,
+            power: self.powers.get(host).copied().unwrap_or(250),
         };
-        control::Core::new(self.policy.clone(), identity, READER, self.random.random(), clock::Millis(self.now))
+        let mut policy = self.policy.clone();
+        if self.old_hosts.contains(&host) {
+            policy.gatherers = None;
+        }
+        control::Core::new(policy, identity, READER, self.random.random(), clock::Millis(now))
     }
 
     fn schedule(&mut self, at: u64, event: Event) {
@@ -358,7 +395,7 @@
 
     /// Kills the process of a host and starts it again after `downtime` ms.
     pub fn restart(&mut self, host: usize, downtime: u64) {
-        let core = self.new_core(host);
+        let core = self.new_core(host, self.now + downtime);
         let state = &mut self.hosts[host];
         state.incarnation += 1;
         state.is_up = false;
@@ -533,7 +570,8 @@
         };
         let crosses_data_centres = host % self.data_centres != from % self.data_centres;
         self.hosts[from].remote_bytes += if crosses_data_centres { bytes } else { 0 };
-        if self.hosts[from].is_partitioned || self.hosts[host].is_partitioned {
+        let is_split = self.split.contains(&from) != self.split.contains(&host);
+        if is_split || self.hosts[from].is_partitioned || self.hosts[host].is_partitioned {
             self.stalled.insert((from, host), self.now + STALL);
             return;
         }
@@ -541,7 +579,10 @@
             return;
         }
         let incarnation = self.hosts[host].incarnation;
-        let after = self.random.random_range(1..4);
+        let delay = |host: usize| self.delays.get(&host).copied().unwrap_or_default();
+        let after = delay(from) + delay(host) + self.random.random_range(1..4);
+        let is_old = self.old_hosts.contains(&from) || self.old_hosts.contains(&host);
+        let message = if is_old { without_demand(message) } else { message };
         self.schedule(self.now + after, Event::Input { host, incarnation, input: control::Input::Peer(message) });
     }
 
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 #[expect(unreachable_pub, reason = "a module of this test alone")]
 mod fleet;
+mod gatherers;
 mod restored;
 mod suspects;
 
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -299,6 +299,15 @@
     if !status.evacuated.is_empty() {
         println!("  evacuated data centres: {}", status.evacuated.join(", "));
     }
+    for gathering in &status.gathering {
+        let demand = match gathering.demand {
+            Some(demand) => format!("{:.1} a second", demand.per_second()),
+            None => "not known of all hosts".to_owned(),
+        };
+        let (count, reason) = (gathering.hosts.len(), gathering.reason.as_str());
+        println!("  gathered by {count} hosts from {}: {}", gathering.set, gathering.hosts.join(", "));
+        println!("    demand {demand}, here {:.1}; number by: {reason}", status.demand.per_second());
+    }
     for suspect in &status.suspects {
         let fingerprint = suspect.fingerprint.map(|fingerprint| format!("{fingerprint}")).unwrap_or_default();
         let standing = match suspect.standing() {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -314,6 +314,8 @@
             members: self.core.members().map(|(name, state)| (name.clone(), state)).collect(),
             classes: classes.unwrap_or_default(),
             suspects: self.core.suspects(),
+            demand: stats.demand,
+            gathering: self.core.gathering().cloned().collect(),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
@@ -408,6 +410,13 @@
             tracing::warn!(%fingerprint, attempt = trial.attempt, "granted a trial of a suspected request");
         }
         note::Note::Cleared(fingerprint) => tracing::info!(%fingerprint, "cleared a suspected request"),
+        note::Note::Gathering(gathering) => {
+            let listed = gathering.hosts[..gathering.hosts.len().min(MAX_LOGGED_HOSTS)].join(",");
+            let (set, gathering_hosts) = (gathering.set.as_str(), gathering.hosts.len());
+            let demand = gathering.demand.map(|demand| demand.per_second());
+            let reason = gathering.reason.as_str();
+            tracing::info!(set, hosts = listed, gathering_hosts, demand, reason, "the gathering hosts changed");
+        }
         note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "ignored an entry that cannot be parsed"),
     }
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -226,6 +226,9 @@
             traffic::event::Output::Cleared(fingerprint) => self.notify_control(control::Input::Cleared(fingerprint)),
             traffic::event::Output::RequestTrial(trial) => self.notify_control(control::Input::RequestTrial(trial)),
             traffic::event::Output::TrialUnused(trial) => self.notify_control(control::Input::TrialUnused(trial)),
+            traffic::event::Output::Demand { lane, demand } => {
+                self.notify_control(control::Input::Demand { lane, demand });
+            }
             traffic::event::Output::Probe { server, address } => {
                 task::spawn_local(attempt::probe(Rc::clone(self), server, address));
             }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -169,6 +169,9 @@
             ("entries", stats.entries),
             ("servers", stats.servers),
             ("servers_held", stats.servers_held),
+            ("gatherer_changes", stats.gatherer_changes),
+            ("gatherers", stats.gatherers),
+            ("demand_thousandths", u64::from(stats.demand.0)),
         ];
         for (name, value) in gauges {
             self.control.with_label_values(&[name]).set(value as i64);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,7 +12,11 @@
 use compact_str::CompactString;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use shallothub_core::{clock, control, plan, suspect, traffic, view};
+use shallothub_core::{
+    clock, control, plan,
+    plan::gatherers::{self, transition},
+    suspect, traffic, view,
+};
 use shallothub_settings::node;
 use shallothub_wire::protocol;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -113,6 +117,10 @@
     pub evacuated: Vec<CompactString>,
     /// This host's records of requests that may crash servers.
     pub suspects: Vec<suspect::Record>,
+    /// The gathers that callers send to this host, as published to other hosts.
+    pub demand: gatherers::Demand,
+    /// The hosts that gather for each set of shards; empty if they are not chosen by demand.
+    pub gathering: Vec<transition::Gathering>,
 }
 
 /// The addresses that a node listens on, with the assigned port where the settings contain port 0.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -195,6 +195,12 @@
     if settings.control.warm_up_overage < 1.0 || settings.control.warm_up_slack < 0.0 {
         fault("`control.warm_up_overage` is below 1, or `warm_up_slack` below 0", "set them to 1 and 0 or more");
     }
+    if settings.control.gatherers.is_some_and(|gatherers| !(0.01..=1.0).contains(&gatherers.utilisation)) {
+        fault("`control.gatherers.utilisation` is not between 0.01 and 1", "set it to a fraction such as 0.3");
+    }
+    if settings.control.gatherers.is_some_and(|gatherers| gatherers.min == 0) {
+        fault("`control.gatherers.min` is 0", "set it to 2 or more, so that one failure leaves a gathering host");
+    }
     if settings.control.watchers == 0 || settings.control.fanout == 0 {
         fault("`control` has no watchers or no fanout", "set both to 1 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -124,6 +124,10 @@
 #[case::region("regions: {north: \"\"}", "without a name")]
 #[case::overage("control: {warm_up_overage: 0.5}", "`control.warm_up_overage` is below 1")]
 #[case::watchers("control: {watchers: 0}", "no watchers")]
+#[case::utilisation("control: {gatherers: {utilisation: 0}}", "`control.gatherers.utilisation` is not between")]
+#[case::no_utilisation("control: {gatherers: {utilisation: .nan}}", "`control.gatherers.utilisation` is not between")]
+#[case::gatherers("control: {gatherers: {min: 0}}", "`control.gatherers.min` is 0")]
+#[case::gatherers_key("control: {gatherers: {max: 3}}", "unknown field `max`")]
 fn a_setting_out_of_range_has_a_remedy(#[case] line: &str, #[case] problem: &str) {
     let text = format!(
         "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n{line}\n"
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -1,7 +1,7 @@
 //! Messages between hosts: decoding reverses encoding, and malformed input is an error, never a panic.
 
 use proptest::prelude::*;
-use shallothub_core::{catalog, clock, control::message, suspect, view};
+use shallothub_core::{catalog, clock, control::message, plan::gatherers, suspect, view};
 use shallothub_wire::peer;
 
 fn stamp() -> impl Strategy<Value = view::Stamp> {
@@ -15,7 +15,8 @@
 fn body() -> impl Strategy<Value = message::Body> {
     let digest =
         (stamp(), stamp(), any::<Option<u64>>(), any::<Option<u64>>()).prop_map(|(config, hosts, sent, echo)| {
-            let member = message::Member { peer: "10.0.0.2:7000".into(), ..message::Member::default() };
+            let demand = gatherers::Demand(config.version as u32);
+            let member = message::Member { peer: "10.0.0.2:7000".into(), demand, ..message::Member::default() };
             message::Body::Digest(Box::new(message::Digest {
                 stamps: [config, hosts],
                 ages: [sent.map(clock::Millis), None],
@@ -94,3 +95,28 @@
     let bytes = rmp_serde::to_vec_named(&newer).expect("encoded");
     assert_eq!(peer::decode(&bytes).expect("decoded").body, body);
 }
+
+/// A member record of the version before the demand.
+#[derive(Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+struct OldMember {
+    peer: String,
+    name: String,
+    data_centre: String,
+    relay: String,
+    power: u32,
+    turn: u64,
+    packs: bool,
+    state: message::State,
+}
+
+/// Guards against hosts of two versions that cannot read each other's member records: a record without a demand has
+/// none, and the previous version ignores the demand.
+#[test]
+fn member_records_of_both_versions_are_readable() {
+    let old = OldMember { peer: "10.0.0.2:7000".to_owned(), power: 250, turn: 3, ..OldMember::default() };
+    let read: message::Member = rmp_serde::from_slice(&rmp_serde::to_vec_named(&old).expect("encoded")).expect("read");
+    assert_eq!((read.incarnation, read.power, read.demand), (3, 250, gatherers::Demand::NONE));
+    let new = message::Member { demand: gatherers::Demand(1800), ..read };
+    let read: OldMember = rmp_serde::from_slice(&rmp_serde::to_vec_named(&new).expect("encoded")).expect("read");
+    assert_eq!(read, old);
+}
