Test the connections that gathering hosts open

The simulation counted idle connections without closing them, so the cost of many hosts that use each connection seldom did not show.

A leaf's idle connections expire in the simulation if the plan says so, the connections that are opened are counted, and the gathering hosts can change during a run. Plans without these fields run as before.

--- a/crates/core/tests/simulation/leaf.rs
+++ b/crates/core/tests/simulation/leaf.rs
@@ -33,8 +33,10 @@
     pause_phase: u64,
     running: Vec<Run>,
     waiting: VecDeque<Job>,
-    /// Idle connections by host.
-    idle: IndexMap<usize, u32>,
+    /// Idle connections by host, each with the time since which it is idle.
+    idle: IndexMap<usize, Vec<u64>>,
+    /// Time after which the leaf closes an idle connection, in ms.
+    idle_timeout: u64,
 }
 
 impl Leaf {
@@ -48,20 +50,25 @@
             running: Vec::new(),
             waiting: VecDeque::new(),
             idle: IndexMap::new(),
+            idle_timeout: u64::MAX,
         }
     }
 
+    pub fn with_idle_timeout(self, idle_timeout: u64) -> Self {
+        Self { idle_timeout, ..self }
+    }
+
     /// Number of running and of waiting requests.
     pub fn load(&self) -> (u32, u32) {
         (self.running.len() as u32, self.waiting.len() as u32)
     }
 
-    /// Takes an idle connection of `host`; returns `false` if it has to open one.
-    pub fn connect(&mut self, host: usize) -> bool {
+    /// Takes the idle connection of `host` that was used last; returns `false` if it has to open one.
+    pub fn connect(&mut self, now: u64, host: usize) -> bool {
         let idle = self.idle.entry(host).or_default();
-        let has_idle = *idle > 0;
-        *idle = idle.saturating_sub(1);
-        has_idle
+        let timeout = self.idle_timeout;
+        idle.retain(|since| now - since < timeout);
+        idle.pop().is_some()
     }
 
     /// Queues a request. Returns the requests that start now, `None` if the queue is full.
@@ -77,7 +84,7 @@
     pub fn complete(&mut self, now: u64, run: Run) -> Option<Vec<Run>> {
         let position = self.running.iter().position(|other| *other == run)?;
         self.running.swap_remove(position);
-        *self.idle.entry(run.sender.0).or_default() += 1;
+        self.idle.entry(run.sender.0).or_default().push(now);
         Some(self.start_waiting(now))
     }
 
--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -56,6 +56,17 @@
     pub fault: LeafFault,
 }
 
+/// A change of the hosts that gather.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Time of the change, in ms; each host learns of it up to 500 ms later.
+    pub at: u64,
+    /// See [`Plan::owners`].
+    pub owners: usize,
+    /// See [`Plan::connection_shares`].
+    pub connection_shares: Vec<u32>,
+}
+
 /// The deployment that is simulated, its load and its faults.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -86,6 +97,12 @@
     pub data_centres: usize,
     /// Number of hosts that gather, counted from host 0; the others relay requests to them.
     pub owners: usize,
+    /// Connections to each leaf of each host; an equal part of `connections` for hosts that it does not list.
+    pub connection_shares: Vec<u32>,
+    /// Changes of `owners` and `connection_shares`, in chronological order.
+    pub changes: Vec<Change>,
+    /// Time after which a leaf closes an idle connection, in ms.
+    pub idle_timeout: u64,
     /// Fault of host 0 and its start, in ms.
     pub host_fault: Option<(u64, HostFault)>,
     pub injections: Vec<Injection>,
@@ -114,6 +131,9 @@
             pause_interval: 3000,
             data_centres: 1,
             owners: usize::MAX,
+            connection_shares: Vec::new(),
+            changes: Vec::new(),
+            idle_timeout: u64::MAX,
             host_fault: None,
             injections: Vec::new(),
         }
@@ -149,6 +169,12 @@
     pub extra_ratio: f64,
     /// Fraction of the arrivals that came from another data centre.
     pub far_ratio: f64,
+    /// Connections opened to leafs.
+    pub opened: u64,
+    /// The same in each second.
+    pub opened_by_second: IndexMap<u64, u64>,
+    /// Requests that were not answered.
+    pub lost: u64,
     pub latencies: Vec<u64>,
     /// Maximum time to a refusal or failure, in ms.
     pub longest_refusal: u64,
@@ -201,6 +227,11 @@
         reply: event::Reply,
     },
     Kill,
+    /// A host learns of a change of the hosts that gather, given by its index in the plan.
+    Change {
+        host: usize,
+        change: usize,
+    },
     /// A host checks its clock, as nodes do when idle.
     Tick {
         host: usize,
@@ -305,7 +336,8 @@
         let mut leafs = Vec::new();
         for _ in 0..plan.shards * plan.replicas {
             let pause_phase = random.random_range(0..plan.pause_interval);
-            leafs.push(leaf::Leaf::new(plan.slots, plan.queue, plan.pause, plan.pause_interval, pause_phase));
+            let leaf = leaf::Leaf::new(plan.slots, plan.queue, plan.pause, plan.pause_interval, pause_phase);
+            leafs.push(leaf.with_idle_timeout(plan.idle_timeout));
         }
         let mut simulation = Self {
             now: 1,
@@ -334,6 +366,12 @@
         if let Some((at, HostFault::Killed)) = simulation.plan.host_fault {
             simulation.schedule(at, Event::Kill);
         }
+        for change in 0..simulation.plan.changes.len() {
+            for host in 0..simulation.plan.hosts {
+                let delay = simulation.random.random_range(0..500);
+                simulation.schedule(simulation.plan.changes[change].at + delay, Event::Change { host, change });
+            }
+        }
         for host in 0..simulation.plan.hosts {
             simulation.schedule_request(host);
             simulation.schedule(TICK_INTERVAL, Event::Tick { host });
@@ -376,6 +414,7 @@
                 Event::Complete { leaf, run } => self.complete(leaf, run),
                 Event::Reply { host, attempt, reply } => self.step(host, event::Input::Reply { attempt, reply }),
                 Event::Kill => self.kill(),
+                Event::Change { host, change } => self.change(host, change),
                 Event::Tick { host } => {
                     self.step(host, event::Input::Tick);
                     self.schedule(self.now + TICK_INTERVAL, Event::Tick { host });
@@ -398,6 +437,15 @@
         self.outcome.extra_ratio = self.arrivals as f64 / self.first_attempts.max(1) as f64 - 1.0;
     }
 
+    fn change(&mut self, host: usize, change: usize) {
+        let Change { owners, connection_shares, .. } = self.plan.changes[change].clone();
+        let plan = Plan { owners, connection_shares, ..self.plan.clone() };
+        let version = change as u64 + 2;
+        let stamp = view::Stamp { version, digest: 1, ..view::Stamp::default() };
+        let view = view::View { stamp, hosts_revision: stamp, ..view(&plan, host) };
+        self.step(host, event::Input::View(Arc::new(view)));
+    }
+
     fn request(&mut self, host: usize) {
         self.schedule_request(host);
         let is_light = self.random.random_bool(self.plan.light_fraction);
@@ -583,7 +631,12 @@
         };
         let relative_work = if self.is_light(host, dispatch.caller.0) { LIGHT_WORK } else { 1.0 };
         let work = self.plan.work * relative_work * (0.5 + self.random.random::<f64>()) * slowdown;
-        let handshake = if self.leafs[leaf].connect(host) { 0 } else { self.plan.handshake };
+        let is_reused = self.leafs[leaf].connect(self.now, host);
+        if !is_reused && self.is_measured(self.now) {
+            self.outcome.opened += 1;
+            *self.outcome.opened_by_second.entry(self.now / 1000).or_default() += 1;
+        }
+        let handshake = if is_reused { 0 } else { self.plan.handshake };
         match self.leafs[leaf].submit(self.now, (host, attempt), work.round() as u64 + handshake) {
             Some(started) => self.schedule_completions(leaf, started),
             None => self.reply(host, attempt, 1, event::Reply::Refused { retry_after: None }),
@@ -643,7 +696,8 @@
         if answer.outcome != event::Outcome::Answered {
             self.outcome.refused += 1;
             self.outcome.longest_refusal = self.outcome.longest_refusal.max(latency);
-            self.retry(query, answer.retry_after);
+            let is_retried = self.retry(query, answer.retry_after);
+            self.outcome.lost += u64::from(!is_retried);
             return;
         }
         let latency = self.now - query.first_at;
@@ -691,14 +745,14 @@
                 evacuated: false,
                 region: CompactString::default(),
                 distance: if is_near { view::Distance::Near } else { view::Distance::Far },
-                own_share: None,
+                own_share: plan.connection_shares.get(host).copied(),
                 is_peer: false,
                 warm_up: None,
             }));
         }
         targets.push(view::Target { service: registry.intern_service(&name), shard: name, replicas });
     }
-    let is_owner = host < plan.owners;
+    let is_owner = host < plan.owners && plan.connection_shares.get(host) != Some(&0);
     let peers = if is_owner { 0 } else { plan.owners };
     let mut relays = Vec::new();
     for peer in 0..peers {
