--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -12,6 +12,7 @@
 
 mod event;
 mod exchange;
+mod gatherers;
 mod gossip;
 mod history;
 mod hold;
@@ -41,7 +42,7 @@
 use replica::{Announcement, Replica};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, id, plan, suspect, view};
+use crate::{catalog, clock, id, plan, plan::gatherers::transition, suspect, view};
 
 /// The identity of this host and its static settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,6 +142,7 @@
     restore_overrides: restored::Overrides,
     suspects: suspects::Suspects,
     exchange: exchange::Exchange,
+    gatherers: gatherers::Gatherers,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     standing: Standing,
@@ -189,6 +191,7 @@
             restore_overrides: restored::Overrides::default(),
             suspects: suspects::Suspects::default(),
             exchange,
+            gatherers: gatherers::Gatherers::default(),
             gossip_at: now,
             started_at: now,
             standing: match reader.source {
@@ -202,6 +205,7 @@
             outputs: Vec::new(),
             stats: Stats::default(),
         };
+        core.publish_lowest_demand();
         core.refresh_peers();
         core
     }
@@ -222,6 +226,8 @@
         self.announce();
         self.gossip_suspects();
         self.exchange_evidence();
+        self.publish_demand();
+        self.choose_if_due();
         self.compile_if_due();
         self.count_outputs()
     }
@@ -232,7 +238,11 @@
             Source::Documents => self.now,
             Source::Registry { .. } => {
                 let compile = self.compile_at.unwrap_or(clock::Millis::MAX);
-                let outgoing = self.spread_timer().min(self.suspects_timer()).min(self.evidence_timer());
+                let outgoing = self
+                    .spread_timer()
+                    .min(self.suspects_timer())
+                    .min(self.evidence_timer())
+                    .min(self.gatherers_timer());
                 self.gossip_at.min(self.reply_check_at).min(outgoing).min(self.registry_timer()).min(compile)
             }
         }
@@ -255,6 +265,7 @@
             Input::TrialUnused(trial) => self.on_trial_unused(trial),
             Input::Release(fingerprint) => self.on_release(fingerprint),
             Input::Observed(samples) => self.on_observed(&samples),
+            Input::Demand { lane, demand } => self.on_demand(lane, demand),
         }
     }
 
@@ -294,6 +305,11 @@
         self.members.states()
     }
 
+    /// The hosts that gather for each set of shards; empty if they are not chosen by demand.
+    pub fn gathering(&self) -> impl Iterator<Item = &transition::Gathering> {
+        self.gatherers.transitions.all()
+    }
+
     /// This host's records of requests that may crash servers.
     pub fn suspects(&self) -> Vec<suspect::Record> {
         self.suspects.table.records(self.now)
--- a/crates/core/src/control/policy.rs
+++ b/crates/core/src/control/policy.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, evidence};
+use crate::{clock, evidence, plan::gatherers};
 
 /// Tuning parameters of the control core.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,6 +45,8 @@
     pub warm_up_slack: f64,
     /// Exchange of evidence about backend servers; default none, which switches it off.
     pub evidence: Option<evidence::Policy>,
+    /// How many hosts gather, by demand and strength. Default none: all that are strong enough gather.
+    pub gatherers: Option<gatherers::Policy>,
 }
 
 impl Default for Policy {
@@ -64,6 +66,7 @@
             warm_up_overage: 1.0,
             warm_up_slack: 0.0,
             evidence: None,
+            gatherers: None,
         }
     }
 }
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -14,12 +14,13 @@
 
 mod check;
 mod compile;
+pub mod gatherers;
 pub mod owner;
 mod relay;
 mod routing;
 
 pub use check::check;
-pub use compile::{Fleet, compile};
+pub use compile::{Fleet, Gatherers, compile, gathering_choices};
 pub use relay::Relay;
 pub use routing::{Destination, Leaf, Route, Routing, Upstream};
 
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod capacity;
 mod choose;
 mod class;
+mod demand;
 mod dispatch;
 pub mod estimate;
 pub mod event;
@@ -89,6 +90,7 @@
     fleet: fleet::Fleet,
     /// Searches that wait for tokens or are to be planned.
     agenda: judge::Agenda,
+    demand: demand::Meter,
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
@@ -125,6 +127,7 @@
             trials: IndexMap::new(),
             fleet,
             agenda: judge::Agenda::default(),
+            demand: demand::Meter::new(now),
             ejected: 0,
             standings: Arc::default(),
             report: standing::Report::default(),
@@ -159,6 +162,7 @@
         self.admit_waiting();
         self.plan_due();
         self.report_standings();
+        self.report_demand();
         std::mem::take(&mut self.outputs)
     }
 
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -321,6 +321,9 @@
             }
             event::Output::Observed(samples) => self.control(host, [control::Input::Observed(samples)]),
             event::Output::Probe { .. } => panic!("no request of this simulation has a fingerprint"),
+            event::Output::Demand { lane, demand } => {
+                self.at(self.now, Event::Control { host, life, input: control::Input::Demand { lane, demand } });
+            }
             event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
                 self.oracle.breach(breach.name.as_str(), format!("by the program: {}", breach.detail));
--- a/crates/core/tests/registry/evidence.rs
+++ b/crates/core/tests/registry/evidence.rs
@@ -186,7 +186,7 @@
 fn both_sides_of_a_partition_go_on_and_merge(#[values(24, 78)] hosts: usize, #[values(1, 2, 3)] seed: u64) {
     let mut fleet = start(hosts, 20, 3, seed);
     let half = hosts / 2;
-    fleet.split = Some(half);
+    fleet.split = (0..half).collect();
     fleet.run_until(fleet.now + 5000);
     let observe = |fleet: &mut Fleet| {
         for host in [1, 2, 3] {
@@ -200,7 +200,7 @@
         assert_eq!(standing(&fleet, host, "0-0").is_some(), host < half, "host {host}");
         assert_eq!(standing(&fleet, host, "1-1").is_some(), host >= half, "host {host}");
     }
-    fleet.split = None;
+    fleet.split.clear();
     for _ in 0..8 {
         observe(&mut fleet);
         fleet.run_until(fleet.now + 500);
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -8,6 +8,7 @@
 mod evidence;
 #[expect(unreachable_pub, reason = "a module of this test alone")]
 mod fleet;
+mod gatherers;
 mod restored;
 mod suspects;
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -322,6 +322,8 @@
             classes: classes.unwrap_or_default(),
             suspects: self.core.suspects(),
             standings: self.core.server_standings(),
+            demand: stats.demand,
+            gathering: self.core.gathering().cloned().collect(),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
@@ -427,6 +429,13 @@
                 "the standing of servers changed"
             );
         }
+        note::Note::Gathering(gathering) => {
+            let listed = gathering.hosts[..gathering.hosts.len().min(MAX_LOGGED_HOSTS)].join(",");
+            let (set, gathering_hosts) = (gathering.set.as_str(), gathering.hosts.len());
+            let demand = gathering.demand.map(|demand| demand.per_second());
+            let reason = gathering.reason.as_str();
+            tracing::info!(set, hosts = listed, gathering_hosts, demand, reason, "the gathering hosts changed");
+        }
         note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "ignored an entry that cannot be parsed"),
     }
 }
