Add a ledger of the bytes that a host holds

Cause: bytes are not counted anywhere, so callers that stall within their bodies or do not read their answers can hold more than a host has, and the host is killed (docs/LOAD.md, problem 6).

Change: bytes::Ledger counts by kind, decides whether a request may be read, and selects the holders to close above the mark and above the limit. Nothing uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! started until it ends, so that a configuration change never affects a query in progress.
 
 pub mod budget;
+pub mod bytes;
 pub mod catalog;
 pub mod clock;
 pub mod control;
