Bound the memory of request bodies

Change: with the new setting memory: {limit_mb, mark} all threads count bodies in one ledger as they arrive. Above the mark new requests are refused before their body is read (503, overloaded, not run, retry_after with jitter), the largest and least urgent first, and bodies that stall for 500 ms are ended (408). Above the limit the body without progress for longest is ended. The bytes held are in the metrics and the status. Without the setting nothing is counted or refused.

--- a/crates/core/src/bytes.rs
+++ b/crates/core/src/bytes.rs
@@ -21,8 +21,12 @@
 /// most networks, so a caller that only lost one has not stalled.
 pub const STALL_TIME: clock::Millis = clock::Millis(500);
 /// Parts of the room between mark and limit that requests of each priority may use, the highest priority first.
-/// Requests of unknown priority may use none.
-const URGENT_PARTS: [f64; view::Class::PRIORITIES] = [0.5, 0.375, 0.25, 0.125];
+/// Requests of unknown priority may use none. The rest is for bodies that were accepted below the mark and still grow.
+const URGENT_PARTS: [f64; view::Class::PRIORITIES] = [0.9, 0.7, 0.5, 0.3];
+/// Size of a body up to which a request may use the whole part of its priority; a larger one may use less in
+/// proportion. With one bound for all sizes, 1,230 callers that stall within 262,144-byte bodies left room for 64% of
+/// small requests.
+const SMALL_BODY: Size = Size(4096);
 /// Fraction of the limit that counted bytes may not use. The allocator keeps freed blocks, and a growing block exists
 /// twice while it is copied.
 const UNCOUNTED_FRACTION: f64 = 0.15;
@@ -302,7 +306,8 @@
             return Decision::Read;
         }
         let part = priority.and_then(|priority| URGENT_PARTS.get(usize::from(priority))).copied().unwrap_or_default();
-        if remaining + announced <= mark + (limit - mark).scale(part) {
+        let small = SMALL_BODY.0 as f64 / announced.max(SMALL_BODY).0 as f64;
+        if remaining + announced <= mark + (limit - mark).scale(part * small) {
             return Decision::Read;
         }
         let fill = ((remaining - mark).0 as f64 / (limit - mark).0.max(1) as f64).min(1.0);
--- a/crates/core/tests/bytes.rs
+++ b/crates/core/tests/bytes.rs
@@ -13,6 +13,11 @@
     bytes::Ledger::new(bytes::Limits::new(Size(1000), 0.6), 1)
 }
 
+/// Mark at 600,000, limit at 850,000.
+fn large_ledger() -> bytes::Ledger {
+    bytes::Ledger::new(bytes::Limits::new(Size(1_000_000), 0.6), 1)
+}
+
 fn is_read(ledger: &mut bytes::Ledger, priority: Option<u8>, announced: u64) -> bool {
     ledger.decide(priority, Size(announced)) == Decision::Read
 }
@@ -30,18 +35,22 @@
 
 /// Above the mark the largest and the least urgent are refused first.
 #[rstest]
-#[case::urgent_and_small(Some(0), 50, true)]
-#[case::urgent_and_large(Some(0), 130, false)]
-#[case::least_urgent_and_small(Some(3), 10, true)]
-#[case::least_urgent(Some(3), 50, false)]
-#[case::unknown(None, 0, false)]
+#[case::urgent(Some(0), 0, 824_000, true)]
+#[case::urgent_above_its_part(Some(0), 0, 826_000, false)]
+#[case::least_urgent(Some(3), 0, 674_000, true)]
+#[case::least_urgent_above_its_part(Some(3), 0, 676_000, false)]
+#[case::urgent_and_large(Some(0), 40_960, 600_001, false)]
+#[case::urgent_and_rather_large(Some(0), 8192, 700_000, true)]
+#[case::urgent_and_rather_large_above_its_part(Some(0), 8192, 710_000, false)]
+#[case::unknown(None, 0, 600_001, false)]
 fn above_the_mark_the_largest_and_least_urgent_are_refused_first(
     #[case] priority: Option<u8>,
     #[case] announced: u64,
+    #[case] held: u64,
     #[case] is_expected: bool,
 ) {
-    let mut ledger = ledger();
-    ledger.open(Kind::Replies, Size(610), Millis(0));
+    let mut ledger = large_ledger();
+    ledger.open(Kind::Replies, Size(held), Millis(0));
     assert_eq!(is_read(&mut ledger, priority, announced), is_expected);
 }
 
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -310,6 +310,16 @@
         };
         println!("  request {fingerprint}: {standing}; lost with {}", suspect.servers.join(", "));
     }
+    if let Some(held) = &status.held {
+        let kinds: Vec<String> = held.kinds.iter().map(|(kind, size)| format!("{kind} {}", size.0)).collect();
+        println!(
+            "  bytes held: {} ({}); new requests are refused above {}, holders closed above {}",
+            held.total.0,
+            kinds.join(", "),
+            held.mark.0,
+            held.limit.0
+        );
+    }
     println!("  watches the platform: {}; calls so far: {}", status.watcher, status.control.platform_calls);
     for fault in &status.refused {
         println!("  refused: {fault}");
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -314,6 +314,7 @@
             members: self.core.members().map(|(name, state)| (name.clone(), state)).collect(),
             classes: classes.unwrap_or_default(),
             suspects: self.core.suspects(),
+            held: self.shared.memory.as_ref().map(|memory| memory.status()),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
--- a/crates/node/src/lane/ingress.rs
+++ b/crates/node/src/lane/ingress.rs
@@ -16,8 +16,11 @@
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
 };
 
-use super::{Shell, inbound};
-use crate::{shared, time};
+use super::{Shell, inbound, overload};
+use crate::{
+    memory::{self, Held},
+    shared, time,
+};
 
 /// Time for which other hosts should relay nothing to this one once it is draining; by then it has stopped.
 const DRAINING_RETRY_AFTER: clock::Millis = clock::Millis(5000);
@@ -81,11 +84,12 @@
     if source == Source::Hosts && shell.shared.phase() >= shared::Phase::Draining {
         return refuse_while_draining(shell);
     }
-    let (request, caller_timeout) = match read_request(shell, incoming).await {
-        Ok((request, caller_timeout)) => {
-            (request, relay_metadata.as_ref().map_or(caller_timeout, |metadata| metadata.timeout))
+    let (request, caller_timeout, _held) = match read_request(shell, incoming).await {
+        Ok((request, caller_timeout, held)) => {
+            (request, relay_metadata.as_ref().map_or(caller_timeout, |metadata| metadata.timeout), held)
         }
-        Err(refusal) => return reject(shell, &refusal, from),
+        Err(Rejection::Refused(refusal)) => return reject(shell, &refusal, from),
+        Err(Rejection::Overloaded(overload)) => return reject_overload(shell, source, overload, from),
     };
     let elapsed = started.elapsed().as_millis() as u64;
     let caller_timeout = caller_timeout.map(|caller_timeout| caller_timeout - clock::Millis(elapsed));
@@ -122,6 +126,23 @@
     close_after(respond(shell, shell.shared.interface.frontend.refuse(refusal)))
 }
 
+/// Answers a request for which there is no memory, of which nothing more is read.
+fn reject_overload(
+    shell: &Shell,
+    source: Source,
+    overload: overload::Overload,
+    from: Option<net::SocketAddr>,
+) -> Response<ResponseBody> {
+    shell.shared.metrics.record_rejection(event::Code::Overloaded.as_str());
+    let retry_after = overload.retry_after;
+    tracing::debug!(class = %overload.class, retry_after_ms = retry_after.0, from = ?from, "no memory for a request");
+    let mut response = respond(shell, shell.shared.interface.frontend.answer(overload.answer()));
+    if source == Source::Hosts {
+        relay::set_outcome(response.headers_mut(), event::Outcome::NotRun, Some(retry_after));
+    }
+    close_after(response)
+}
+
 /// Refuses a relayed request while this host drains, so that the sender uses another host from now on.
 fn refuse_while_draining(shell: &Shell) -> Response<ResponseBody> {
     let mut response = Response::new(Bytes::new());
@@ -151,19 +172,45 @@
     }
 }
 
-/// Reads a request within the limits in force, and the timeout that its caller gave.
+/// Why a request is not read.
+enum Rejection {
+    /// It is malformed, too large or late.
+    Refused(protocol::Refusal),
+    /// There is no memory for it.
+    Overloaded(overload::Overload),
+}
+
+impl From<protocol::Refusal> for Rejection {
+    fn from(refusal: protocol::Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// Reads a request within the limits in force, the timeout that its caller gave, and the count of its body's bytes.
 async fn read_request(
     shell: &Shell,
     incoming: Incoming,
-) -> Result<(protocol::Request, Option<clock::Millis>), protocol::Refusal> {
+) -> Result<(protocol::Request, Option<clock::Millis>, Option<Held>), Rejection> {
     let Incoming { method, target, mut headers, body } = incoming;
     check_framing(&headers)?;
     check_head(shell, &target, &headers)?;
     let head = shell.shared.interface.frontend.parse(&target, &headers)?;
-    let body = if body_is_empty(&headers) { Bytes::new() } else { read_body(shell, body).await? };
+    let announced = if body_is_empty(&headers) { 0 } else { announced_length(shell, &headers) };
+    shell.check_memory(&head.destination, announced).map_err(Rejection::Overloaded)?;
+    let (body, held) = if body_is_empty(&headers) { (Bytes::new(), None) } else { read_body(shell, body).await? };
     protocol::strip_hop_by_hop(&mut headers);
     let caller_timeout = head.timeout;
-    Ok((protocol::Request { head, method, target: origin_form(target), headers, body }, caller_timeout))
+    Ok((protocol::Request { head, method, target: origin_form(target), headers, body }, caller_timeout, held))
+}
+
+/// The most bytes that the body may have: its announced length, or the limit if it comes in chunks.
+fn announced_length(shell: &Shell, headers: &HeaderMap) -> usize {
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
+    length.unwrap_or_else(|| body_limit(shell))
+}
+
+fn body_limit(shell: &Shell) -> usize {
+    shell.limits().map_or(shell.shared.settings.request_bytes_max, |limits| limits.body_bytes)
 }
 
 fn body_is_empty(headers: &HeaderMap) -> bool {
@@ -222,11 +269,19 @@
     })
 }
 
-async fn read_body(shell: &Shell, body: RequestBody) -> Result<Bytes, protocol::Refusal> {
+async fn read_body(shell: &Shell, body: RequestBody) -> Result<(Bytes, Option<Held>), protocol::Refusal> {
     let settings = &shell.shared.settings;
-    let limit = shell.limits().map_or(settings.request_bytes_max, |limits| limits.body_bytes);
-    match timeout(time::duration(settings.body_wait_ms), read_limited(body, limit)).await {
-        Ok(Ok(body)) => Ok(body),
+    let limit = body_limit(shell);
+    let held = Held::new(shell.shared.memory.as_ref(), memory::Kind::Bodies, memory::Size::ZERO, shell.now());
+    let read = async {
+        tokio::select! {
+            biased;
+            body = read_limited(shell, body, limit, held.as_ref()) => body,
+            () = closed(held.as_ref()) => Err(BodyError::Closed),
+        }
+    };
+    match timeout(time::duration(settings.body_wait_ms), read).await {
+        Ok(Ok(body)) => Ok((body, held)),
         Ok(Err(BodyError::TooLarge)) => Err(protocol::Refusal {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             code: "body_too_large",
@@ -237,6 +292,11 @@
             code: "body_broken",
             message: "the body ended before its length".to_owned(),
         }),
+        Ok(Err(BodyError::Closed)) => Err(protocol::Refusal {
+            status: StatusCode::REQUEST_TIMEOUT,
+            code: "body_late",
+            message: "the body came too slowly while memory was short; send it again".to_owned(),
+        }),
         Err(_) => Err(protocol::Refusal {
             status: StatusCode::REQUEST_TIMEOUT,
             code: "body_late",
@@ -248,9 +308,18 @@
 enum BodyError {
     TooLarge,
     Broken,
+    /// It was closed to free memory.
+    Closed,
 }
 
-async fn read_limited(body: RequestBody, limit: usize) -> Result<Bytes, BodyError> {
+async fn closed(held: Option<&Held>) {
+    match held {
+        Some(held) => held.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn read_limited(shell: &Shell, body: RequestBody, limit: usize, held: Option<&Held>) -> Result<Bytes, BodyError> {
     let mut body = pin!(body);
     let mut bytes = BytesMut::new();
     while let Some(chunk) = body.as_mut().data().await {
@@ -261,6 +330,12 @@
             return Err(BodyError::TooLarge);
         }
         bytes.extend_from_slice(&chunk);
+        if let Some(held) = held {
+            held.advance(memory::Size::of(bytes.capacity()), shell.now());
+        }
+    }
+    if held.is_some_and(|held| !held.convert(memory::Kind::Forwarded)) {
+        return Err(BodyError::Closed);
     }
     Ok(bytes.freeze())
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -11,6 +11,7 @@
 mod inbound;
 mod ingress;
 mod note;
+mod overload;
 mod pool;
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, thread};
@@ -337,5 +338,8 @@
         let stats = self.state.borrow().core.stats();
         self.shared.metrics.set_lane(self.index, &stats);
         self.shared.lane_stats[self.index].store(Arc::new(stats));
+        if let Some(memory) = &self.shared.memory {
+            memory.tick(self.now());
+        }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lane;
 pub mod life;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 mod reload;
 pub mod run;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -39,6 +39,10 @@
     pub relayed: IntCounter,
     /// Requests rejected before they reached the core, by code.
     pub refusals: IntCounterVec,
+    /// Bytes held, by kind; none if no bound on memory is set.
+    pub held_bytes: IntGaugeVec,
+    /// Holders of bytes that were closed, by kind.
+    pub held_closed: IntCounterVec,
 }
 
 impl Metrics {
@@ -80,6 +84,11 @@
                 Opts::new("shallothub_refusals", "Requests turned away before they reached the core"),
                 &["code"],
             )?,
+            held_bytes: IntGaugeVec::new(Opts::new("shallothub_held_bytes", "Bytes held"), &["kind"])?,
+            held_closed: IntCounterVec::new(
+                Opts::new("shallothub_held_closed", "Bodies and answers closed for lack of memory or progress"),
+                &["kind"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.query_ms.clone()))?;
         metrics.registry.register(Box::new(metrics.coverage.clone()))?;
@@ -91,6 +100,8 @@
         metrics.registry.register(Box::new(metrics.connections.clone()))?;
         metrics.registry.register(Box::new(metrics.refusals.clone()))?;
         metrics.registry.register(Box::new(metrics.relayed.clone()))?;
+        metrics.registry.register(Box::new(metrics.held_bytes.clone()))?;
+        metrics.registry.register(Box::new(metrics.held_closed.clone()))?;
         metrics.registry.register(Box::new(metrics.peer_bytes.clone()))?;
         for name in invariant::Name::ALL {
             metrics.breaches.with_label_values(&[name.as_str()]).inc_by(0);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,7 +17,7 @@
 use shallothub_wire::protocol;
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use crate::{metrics, time};
+use crate::{memory, metrics, time};
 
 /// The lifecycle phase of a node, for threads that do not control it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -113,6 +113,8 @@
     pub evacuated: Vec<CompactString>,
     /// This host's records of requests that may crash servers.
     pub suspects: Vec<suspect::Record>,
+    /// Bytes held by the process; `None` if no bound on memory is set.
+    pub held: Option<memory::Status>,
 }
 
 /// The addresses that a node listens on, with the assigned port where the settings contain port 0.
@@ -143,6 +145,8 @@
     pub clock: time::Clock,
     /// Metrics, updated by all threads.
     pub metrics: metrics::Metrics,
+    /// The bytes held, counted by all threads; `None` if the settings have no bound on memory.
+    pub memory: Option<Arc<memory::Memory>>,
     /// The status last published by the control thread.
     pub status: ArcSwap<Status>,
     /// The counters last published by each lane.
@@ -169,12 +173,15 @@
     ) -> Self {
         let mut lane_stats = Vec::new();
         lane_stats.resize_with(lanes.len(), ArcSwap::default);
+        let clock = time::Clock::new();
+        let memory = settings.memory.map(|bound| memory::Memory::new(bound, clock.incarnation(), metrics.clone()));
         Self {
             settings,
             interface,
             addresses,
-            clock: time::Clock::new(),
+            clock,
             metrics,
+            memory,
             status: ArcSwap::default(),
             lane_stats,
             lanes,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -77,6 +77,13 @@
     /// Timeout for reading a request body, in ms. Default 2000.
     #[serde(default = "body_wait")]
     pub body_wait_ms: clock::Millis,
+    /// Bound on the memory of the process. Absent, the default, nothing is bounded.
+    #[serde(default)]
+    pub memory: Option<Memory>,
+    /// Time without progress after which the connection of a caller that does not read its answer is closed, in ms.
+    /// Applies only if `memory` is set. Default 5000.
+    #[serde(default = "answer_wait")]
+    pub answer_wait_ms: clock::Millis,
     /// Time to keep serving after SIGTERM until the load balancer notices, in ms. Default 3000.
     #[serde(default = "balancer_lag")]
     pub balancer_lag_ms: clock::Millis,
@@ -91,6 +98,25 @@
     pub control: control::Policy,
 }
 
+/// Bound on the memory of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Memory {
+    /// Memory that the process may use, in units of 1,000,000 bytes.
+    pub limit_mb: u32,
+    /// Fraction of `limit_mb` above which new requests are refused. Default 0.6.
+    #[serde(default = "mark")]
+    pub mark: f64,
+}
+
+fn mark() -> f64 {
+    0.6
+}
+
+fn answer_wait() -> clock::Millis {
+    clock::Millis(5000)
+}
+
 fn whole() -> f64 {
     1.0
 }
@@ -131,6 +157,11 @@
 /// connections to callers and backend servers.
 const MIN_DESCRIPTORS: u32 = 64;
 
+/// Minimum of `memory.limit_mb`: a process without any load uses up to 20 MB.
+const MIN_MEMORY_MB: u32 = 40;
+/// Maximum of `memory.mark`: without room above it, urgent requests are refused together with all others.
+const MAX_MARK: f64 = 0.8;
+
 /// Parses and validates settings; `document` is the file name in faults.
 pub fn read(document: &str, text: &str) -> Result<Settings, Vec<plan::Fault>> {
     let settings: Settings = yaml::read(document, text)?;
@@ -189,6 +220,17 @@
     if settings.descriptors < MIN_DESCRIPTORS {
         fault("`descriptors` is below 64", "set it to 64 or more");
     }
+    if let Some(memory) = settings.memory {
+        if memory.limit_mb < MIN_MEMORY_MB {
+            fault("`memory.limit_mb` is below 40", "set it to the memory of the host in MB, 40 or more");
+        }
+        if !(memory.mark > 0.0 && memory.mark <= MAX_MARK) {
+            fault("`memory.mark` is not above 0 and up to 0.8", "set it to a fraction of `limit_mb`, such as 0.6");
+        }
+    }
+    if settings.answer_wait_ms == clock::Millis::ZERO {
+        fault("`answer_wait_ms` is 0", "set it to 1 or more, such as 5000");
+    }
     if settings.traffic.score_band < 1.0 {
         fault("`traffic.score_band` is below 1", "set it to 1 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -124,6 +124,13 @@
 #[case::region("regions: {north: \"\"}", "without a name")]
 #[case::overage("control: {warm_up_overage: 0.5}", "`control.warm_up_overage` is below 1")]
 #[case::watchers("control: {watchers: 0}", "no watchers")]
+#[case::memory("memory: {limit_mb: 39}", "`memory.limit_mb` is below 40")]
+#[case::memory_missing("memory: {mark: 0.5}", "limit_mb")]
+#[case::memory_misspelt("memory: {limit_mb: 160, marks: 0.5}", "marks")]
+#[case::mark("memory: {limit_mb: 160, mark: 0}", "`memory.mark` is not above 0")]
+#[case::mark_without_room("memory: {limit_mb: 160, mark: 0.9}", "`memory.mark` is not above 0")]
+#[case::mark_no_number("memory: {limit_mb: 160, mark: .nan}", "`memory.mark` is not above 0")]
+#[case::answer_wait("answer_wait_ms: 0", "`answer_wait_ms` is 0")]
 fn a_setting_out_of_range_has_a_remedy(#[case] line: &str, #[case] problem: &str) {
     let text = format!(
         "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n{line}\n"
@@ -134,6 +141,19 @@
     assert!(!faults[0].remedy.is_empty(), "{}", faults[0]);
 }
 
+/// Without the setting nothing is bounded; a limit alone is enough to set the bound.
+#[rstest]
+#[case("", None)]
+#[case("memory: {limit_mb: 160}", Some(node::Memory { limit_mb: 160, mark: 0.6 }))]
+#[case("memory: {limit_mb: 64, mark: 0.5}", Some(node::Memory { limit_mb: 64, mark: 0.5 }))]
+fn the_bound_on_memory_has_defaults(#[case] line: &str, #[case] memory: Option<node::Memory>) {
+    let text = format!(
+        "name: a\ndata_centre: b\nlisten: \"127.0.0.1:1\"\npeer: \"127.0.0.1:2\"\nplatform: \"127.0.0.1:9\"\n{line}\n"
+    );
+    let settings = node::read("node.yaml", &text).expect("settings");
+    assert_eq!((settings.memory, settings.answer_wait_ms.0), (memory, 5000));
+}
+
 /// Durations may be fractional: another program's YAML writer turns integers into fractions.
 #[rstest]
 #[case("balancer_lag_ms: 2600.0", 2600)]
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -21,6 +21,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum wait for a node to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of a page, the unit of `/proc/PID/statm`.
+const PAGE_BYTES: u64 = 4096;
 /// Host name in the clients' requests.
 pub const HOST: &str = "soak.example";
 
@@ -288,6 +290,13 @@
         entries.map_or(0, |entries| entries.count())
     }
 
+    /// Returns the resident memory of a node's process, in bytes.
+    pub fn resident(&self, index: usize) -> u64 {
+        let statm = std::fs::read_to_string(format!("/proc/{}/statm", self.nodes[index].child.id()));
+        let pages = statm.ok().and_then(|statm| statm.split(' ').nth(1)?.parse::<u64>().ok());
+        pages.unwrap_or(0) * PAGE_BYTES
+    }
+
     /// Whether a node's process is still running.
     pub fn is_running(&mut self, index: usize) -> bool {
         matches!(self.nodes[index].child.try_wait(), Ok(None))
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -69,11 +69,13 @@
     pub crashes_on: Option<&'static str>,
     /// Id to use instead of the replica's own, to simulate a restart at the same address.
     pub new_id: Option<&'static str>,
+    /// Number of bytes added to each reply that is not a list of records.
+    pub padding: usize,
 }
 
 impl Default for Knobs {
     fn default() -> Self {
-        Self { behaviour: Behaviour::Proper, one_in: 1, work_ms: 2, crashes_on: None, new_id: None }
+        Self { behaviour: Behaviour::Proper, one_in: 1, work_ms: 2, crashes_on: None, new_id: None, padding: 0 }
     }
 }
 
@@ -312,7 +314,9 @@
         let body = if incoming.target.contains("/gather/") {
             records(&self.service, &request)
         } else {
-            whole_body(&self.service, &request).into_bytes()
+            let mut body = whole_body(&self.service, &request).into_bytes();
+            body.resize(body.len() + lock(&self.knobs).padding, b'.');
+            body
         };
         let body = if incoming.method == "HEAD" { Vec::new() } else { body };
         let signature = signature(&self.current_id(), &request, &self.service);
