--- a/crates/core/src/bytes.rs
+++ b/crates/core/src/bytes.rs
@@ -5,8 +5,8 @@
 //! 322 MB for as long as a body may take, and a host of 160 MB is killed.
 //!
 //! [`Ledger`] counts by kind what is held. Up to the mark it decides nothing. Above it, new requests are refused before
-//! their body is read, the largest and the least urgent first, and bodies and answers that stall lose their place: with
-//! it, 487 callers that did not read their answers took all the room, and no other caller was served. Above the limit
+//! their body is read, the largest and the least urgent first, and bodies and answers that stall lose their place: while
+//! answers kept theirs, 487 callers that did not read took all the room, and no other caller was served. Above the limit
 //! the holder that has made no progress for longest is closed. Nothing is reserved by announcement: a caller that
 //! announces much and sends nothing takes no room from others.
 
@@ -30,7 +30,8 @@
 /// small requests.
 const SMALL_BODY: Size = Size(4096);
 /// Fraction of the limit that counted bytes may not use. The allocator keeps freed blocks, and a growing block exists
-/// twice while it is copied. With 0.15, 1,230 callers that did not read their answers took 168 MB of 160.
+/// twice while it is copied. With 0.15, 1,230 callers that did not read their answers took 168 MB of 160 (while
+/// the read buffers of connections to leaves were not bounded either).
 const UNCOUNTED_FRACTION: f64 = 0.25;
 /// Fraction of the mark below which it counts as no longer exceeded, so that the log does not show each byte around it.
 const RELIEF_FRACTION: f64 = 0.95;
