--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -324,6 +324,7 @@
             standings: self.core.server_standings(),
             demand: stats.demand,
             gathering: self.core.gathering().cloned().collect(),
+            held: self.shared.memory.as_ref().map(|memory| memory.status()),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
