--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod suspect;
 pub mod table;
 pub mod traffic;
+pub mod urgency;
 pub mod view;
 pub mod window;
