Admit requests by urgency while shared servers lack capacity

Cause: at 1.5 and 3 times the capacity of the leafs, every class loses. Each host fills the queues of servers with requests of any class, and strict priority at a host starves the last class.

Change: `traffic.urgency` compares each caller's request with the threshold of its set of servers where it arrives, before it is relayed or sent. Lanes report waits, work and rates while a wait is above the limit; the control core decides, and `control.share_urgency` exchanges records with other hosts. Each waiting priority at a server gets at least one send in 17. A new view puts waiting requests into the order of its priorities. Both settings are off by default.

Hosts agree within a second at 24, 78 and 300 hosts (`--test registry urgency::`), and without an overload no message is sent.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -270,6 +270,7 @@
                 | event::Output::Crashed(_)
                 | event::Output::RequestTrial(_)
                 | event::Output::TrialUnused(_)
+                | event::Output::Urgency(_)
                 | event::Output::Probe { .. }
                 | event::Output::Cleared(_)
                 | event::Output::Note(_) => {}
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, invariant, plan, suspect, view};
+use crate::{catalog, clock, invariant, plan, suspect, urgency, view};
 
 use super::{message, mirror, note};
 
@@ -60,6 +60,8 @@
     TrialUnused(suspect::Trial),
     /// An operator cleared a suspected request on this host.
     Release(suspect::Fingerprint),
+    /// A lane's measurements for admission by urgency.
+    Urgency(urgency::Report),
 }
 
 /// An action for the shell to perform.
@@ -118,6 +120,8 @@
     View(Arc<view::View>),
     /// The new standings of requests that may crash servers; they replace all earlier ones.
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
+    /// The thresholds in force by set of servers; they replace all earlier ones.
+    Urgency(Arc<IndexMap<CompactString, urgency::State>>),
     /// The attempt that requested a trial with [`Input::RequestTrial`] may be sent.
     TrialGranted(suspect::Trial),
     /// The view was confirmed after [`Input::Revalidate`].
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -336,6 +336,7 @@
             message::Body::Suspects(records) => self.on_suspects(&records),
             message::Body::AskTrial(trial) => self.on_trial_request(message.from, *trial),
             message::Body::GrantTrial(trial) => self.on_grant_trial(*trial),
+            message::Body::Urgency(records) => self.on_urgency_records(records),
         }
     }
 
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, suspect, view};
+use crate::{catalog, clock, suspect, urgency::exchange, view};
 
 /// The protocol version, incremented when older nodes can no longer decode a message.
 pub const PROTOCOL: u16 = 1;
@@ -44,6 +44,8 @@
     AskTrial(Box<Trial>),
     /// Grants the trial requested by [`Body::AskTrial`].
     GrantTrial(Box<Trial>),
+    /// Thresholds of admission by urgency, of the sender and of hosts that it has heard from.
+    Urgency(Vec<exchange::Record>),
 }
 
 /// An attempt of a suspected request, with the sender's record of the request.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -27,6 +27,7 @@
 mod spread;
 mod start;
 mod suspects;
+mod urgency;
 mod views;
 
 pub use event::{Input, Output, Stats};
@@ -40,7 +41,7 @@
 use replica::{Announcement, Replica};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, id, plan, suspect, view};
+use crate::{catalog, clock, id, plan, suspect, urgency::exchange, view};
 
 /// The identity of this host and its static settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -139,6 +140,7 @@
     incarnations: incarnation::Incarnations,
     restore_overrides: restored::Overrides,
     suspects: suspects::Suspects,
+    urgency: exchange::Exchange,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     standing: Standing,
@@ -159,6 +161,7 @@
     pub fn new(policy: Policy, identity: Identity, reader: Reader, seed: u64, now: clock::Millis) -> Self {
         let mut random = rngs::SmallRng::seed_from_u64(seed);
         let start = start::Start::new(now, &mut random);
+        let urgency = exchange::Exchange::new(identity.name.clone());
         let mut core = Self {
             policy,
             identity,
@@ -185,6 +188,7 @@
             incarnations: incarnation::Incarnations::default(),
             restore_overrides: restored::Overrides::default(),
             suspects: suspects::Suspects::default(),
+            urgency,
             gossip_at: now,
             started_at: now,
             standing: match reader.source {
@@ -217,6 +221,7 @@
         self.notify_waiting();
         self.announce();
         self.gossip_suspects();
+        self.advance_urgency();
         self.compile_if_due();
         self.count_outputs()
     }
@@ -227,7 +232,7 @@
             Source::Documents => self.now,
             Source::Registry { .. } => {
                 let compile = self.compile_at.unwrap_or(clock::Millis::MAX);
-                let outgoing = self.spread_timer().min(self.suspects_timer());
+                let outgoing = self.spread_timer().min(self.suspects_timer()).min(self.urgency.next_timer());
                 self.gossip_at.min(self.reply_check_at).min(outgoing).min(self.registry_timer()).min(compile)
             }
         }
@@ -249,6 +254,7 @@
             Input::RequestTrial(trial) => self.request_trial(trial),
             Input::TrialUnused(trial) => self.on_trial_unused(trial),
             Input::Release(fingerprint) => self.on_release(fingerprint),
+            Input::Urgency(report) => self.urgency.report(self.now, report),
         }
     }
 
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::{catalog, clock, plan, revision, suspect, view};
+use crate::{catalog, clock, plan, revision, suspect, urgency::exchange, view};
 
 /// An event for the host's log.
 #[derive(Clone, Debug, PartialEq)]
@@ -131,6 +131,8 @@
     TrialGranted(suspect::Trial),
     /// A suspected request was cleared, because a server answered it or an operator released it.
     Cleared(suspect::Fingerprint),
+    /// A threshold of admission by urgency has started or ceased to reject requests.
+    Urgency(exchange::Change),
     /// An entry could not be parsed and is ignored.
     Unreadable(plan::Fault),
 }
--- a/crates/core/src/control/policy.rs
+++ b/crates/core/src/control/policy.rs
@@ -43,6 +43,8 @@
     pub warm_up_overage: f64,
     /// Additional requests that all hosts together may send to such a server. Default 0.
     pub warm_up_slack: f64,
+    /// Whether hosts exchange their thresholds of admission by urgency. Otherwise each uses its own. Default false.
+    pub share_urgency: bool,
 }
 
 impl Default for Policy {
@@ -61,6 +63,7 @@
             serve_on: clock::Millis(3000),
             warm_up_overage: 1.0,
             warm_up_slack: 0.0,
+            share_urgency: false,
         }
     }
 }
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -66,6 +66,10 @@
             self.refuse(&request, event::Code::Revalidating, Some(self.policy.revalidate_grace), why);
             return;
         }
+        if let Some((retry_after, why)) = self.urgency_refusal(&request, class_index, class, branch) {
+            self.refuse(&request, event::Code::Overloaded, Some(retry_after), why);
+            return;
+        }
         if let Some(why) = self.overload_reason(class_index, timeout) {
             let retry_after = self.classes[class_index].retry_after();
             self.refuse(&request, event::Code::Overloaded, Some(retry_after), why);
@@ -135,6 +139,9 @@
         deadline: clock::Millis,
         settle_at: Option<clock::Millis>,
     ) {
+        if request.relayed.is_some() {
+            self.count_relayed(&request.class);
+        }
         let caller = request.caller;
         let trial = request.relayed.and_then(|relayed| relayed.trial);
         let query = id::Query(self.queries.insert(query::Query {
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -43,7 +43,7 @@
         query.shards[shard_index as usize].is_waiting = true;
         let priority = usize::from(query.selector().priority).min(view::Class::PRIORITIES - 1);
         let server_state = &mut self.servers[server.index()];
-        server_state.waiting[priority].push_back(server::Wait { query: id, shard_index });
+        server_state.waiting[priority].push_back(server::Wait { query: id, shard_index, since: self.now });
         if server_state.inflight == 0 {
             self.timers
                 .push(server_state.ready_at(self.now).max(self.now + clock::Millis(1)), Timer::SendWaiting(server));
@@ -176,15 +176,17 @@
             self.requeue(server);
             return;
         }
+        let has_guarantee = self.policy.urgency.is_some();
         while self.has_capacity(server) {
             let server_state = &mut self.servers[server.index()];
-            let Some(wait) = server_state.waiting.iter_mut().find_map(|queue| queue.pop_front()) else {
+            let Some(wait) = server_state.pop_waiting(has_guarantee) else {
                 return;
             };
             if !self.is_waiting(wait) {
                 continue;
             }
             let kind = self.next_kind(wait);
+            self.add_wait(wait.query, wait.shard_index, self.now.since(wait.since));
             let class = self.queries.get(wait.query.0).map(|query| &query.selector().name);
             if class.is_some_and(|class| !self.is_in_home_region(class, server)) {
                 self.dispatch(wait.query, wait.shard_index, kind);
@@ -341,7 +343,7 @@
     }
 
     pub(super) fn on_backoff_end(&mut self, id: id::Query, shard_index: u32) {
-        if !self.is_waiting(server::Wait { query: id, shard_index }) {
+        if !self.is_waiting(server::Wait { query: id, shard_index, since: self.now }) {
             return;
         }
         let Some(query) = self.queries.get_mut(id.0) else {
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, evidence, id, invariant, suspect, view};
+use crate::{clock, evidence, id, invariant, suspect, urgency, view};
 
 use super::{note, why};
 
@@ -30,6 +30,8 @@
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
     /// The new standings of backend servers that deviate from the usual; they replace all earlier ones.
     Evidence(Arc<IndexMap<id::Server, evidence::Standing>>),
+    /// The thresholds in force by set of servers; they replace all earlier ones.
+    Urgency(Arc<IndexMap<CompactString, urgency::State>>),
     /// A trial requested with [`Output::RequestTrial`] was granted.
     TrialGranted(suspect::Trial),
     /// The result of [`Output::Probe`].
@@ -195,6 +197,8 @@
     Cleared(suspect::Fingerprint),
     /// Request a trial, which permits an attempt of a suspected request; [`Input::TrialGranted`] grants it.
     RequestTrial(suspect::Trial),
+    /// Report measurements that thresholds are decided from.
+    Urgency(urgency::Report),
     /// Report that a granted trial ended without reaching a server.
     TrialUnused(suspect::Trial),
     /// Open a connection to a server without sending anything, to check whether it is alive. It occupies one of this
--- a/crates/core/src/traffic/finish.rs
+++ b/crates/core/src/traffic/finish.rs
@@ -124,6 +124,7 @@
         }
         self.remember_key(&query, outcome);
         self.record_run(&query, outcome);
+        self.record_wait(&query);
         self.record_summary(id, &query, outcome, code, &missing);
         self.outputs.push(event::Output::Answer(event::Answer {
             caller: query.caller,
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -51,6 +51,9 @@
         state.on_answer(self.now, took, median, &answer);
         state.snapshots = [Some(answer.snapshot), answer.held];
         self.ejected = self.ejected.saturating_sub(usize::from(is_still_ejected));
+        if !attempt.is_relay {
+            self.add_server_wait(&attempt, took, answer.queue);
+        }
         self.release(attempt.server);
         let class = attempt.class;
         if attempt.is_relay {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -8,7 +8,7 @@
 //! Each system has its own module: `admit` (limits and refusals), `choose` (replica selection),
 //! `dispatch` (sending, per-server queues, retries), [`warm_up`] (servers that have just started),
 //! `suspect` (requests that crash servers), `hedge` (silent attempts) and `gather` (snapshots,
-//! coverage, answers).
+//! coverage, answers) and `urgency` (admission while shared servers lack capacity).
 
 mod admit;
 mod capacity;
@@ -29,6 +29,7 @@
 pub mod summary;
 mod suspect;
 mod timer;
+mod urgency;
 pub mod warm_up;
 pub mod why;
 
@@ -82,6 +83,7 @@
     /// Queries that run as a trial or wait for the grant of one, by request fingerprint.
     trials: IndexMap<crate::suspect::Fingerprint, id::Query>,
     fleet: fleet::Fleet,
+    urgency: urgency::Urgency,
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
@@ -115,6 +117,7 @@
             answered: suspect::Answered::default(),
             trials: IndexMap::new(),
             fleet,
+            urgency: urgency::Urgency::new(seed),
             ejected: 0,
             standings: Arc::default(),
             paused_at: None,
@@ -144,6 +147,7 @@
             self.apply(input);
         }
         self.admit_waiting();
+        self.report_urgency();
         std::mem::take(&mut self.outputs)
     }
 
@@ -249,6 +253,7 @@
             Input::Revalidated => self.on_revalidated(),
             Input::Suspects(suspects) => self.on_suspects(suspects),
             Input::Evidence(standings) => self.standings = standings,
+            Input::Urgency(states) => self.on_urgency(states),
             Input::TrialGranted(trial) => self.on_trial_granted(trial),
             Input::Probed { server, liveness } => self.on_probed(server, liveness),
             Input::Tick => {}
@@ -264,6 +269,7 @@
         }
         self.clear_replaced(&view);
         self.view = view;
+        self.refresh_urgency();
         let equal_share = 1.0 / f64::from(self.view.hosts.max(1));
         self.fleet.set_limit_shares(self.now, equal_share, &self.view.limit_shares, self.lane.count.max(1));
         self.servers.resize_with(self.view.servers.len().max(self.servers.len()), Default::default);
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, ratio};
+use crate::{clock, ratio, urgency};
 
 /// Settings of one traffic core. `docs/design/` lists the alternatives considered for each.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -83,6 +83,9 @@
     pub far_cost: f64,
     /// This host's share of the fleet-wide bound on extra attempts at each service. Default none.
     pub fleet: Option<Fleet>,
+    /// Whether requests are admitted by urgency while shared servers lack capacity, and how. Default none: each host
+    /// then decides by its own queues alone.
+    pub urgency: Option<urgency::Policy>,
 }
 
 /// A bound on extra attempts at one service, over all hosts and any window of time.
@@ -138,6 +141,7 @@
             score_band: 1.0,
             far_cost: 1.0,
             fleet: None,
+            urgency: None,
         }
     }
 }
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -40,6 +40,8 @@
     /// Whether the shard waits for capacity at a server or for the end of a backoff.
     pub(crate) is_waiting: bool,
     pub(crate) is_failed: bool,
+    /// Time that its attempts waited for capacity at servers, as far as it is known.
+    pub(crate) waited: clock::Millis,
 }
 
 impl Shard {
--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -32,6 +32,9 @@
 const MAX_EJECTION_DOUBLINGS: u32 = 5;
 /// Maximum number of doublings of the time that a silent server is avoided.
 const MAX_SILENCE_DOUBLINGS: u32 = 4;
+/// Number of sends to a server for which a waiting priority may be passed over by more urgent ones. Each waiting
+/// priority gets at least one send in 17, so that strict priority does not starve any while all are waiting.
+const MAX_PASSED_OVER: u8 = 16;
 /// Half-life of a reported load, in ms.
 const LOAD_HALF_LIFE: f64 = 200.0;
 
@@ -40,6 +43,7 @@
 pub(crate) struct Wait {
     pub(crate) query: id::Query,
     pub(crate) shard_index: u32,
+    pub(crate) since: clock::Millis,
 }
 
 /// A row of the server table.
@@ -54,6 +58,8 @@
     pub(crate) incarnation: u64,
     pub(crate) snapshots: [Option<view::Snapshot>; 2],
     pub(crate) waiting: [VecDeque<Wait>; view::Class::PRIORITIES],
+    /// How often in a row each waiting priority was passed over by more urgent ones.
+    passed_over: [u8; view::Class::PRIORITIES],
     pub(crate) ejected_until: clock::Millis,
     /// Another server answered at its address; no requests are sent until its listed address or incarnation
     /// changes, or it is removed from the view.
@@ -100,6 +106,7 @@
             incarnation: 0,
             snapshots: [None; 2],
             waiting: Default::default(),
+            passed_over: [0; view::Class::PRIORITIES],
             ejected_until: clock::Millis::ZERO,
             is_replaced: false,
             address_since: clock::Millis::ZERO,
@@ -202,6 +209,22 @@
         self.consecutive_silences = 0;
     }
 
+    /// Removes the next shard to send: the first of the most urgent priority, or of one that was passed over too often
+    /// if `has_guarantee`.
+    pub(crate) fn pop_waiting(&mut self, has_guarantee: bool) -> Option<Wait> {
+        let is_due = |priority: &usize| {
+            has_guarantee && self.passed_over[*priority] >= MAX_PASSED_OVER && !self.waiting[*priority].is_empty()
+        };
+        let due = (0..view::Class::PRIORITIES).find(is_due);
+        let next = due.or_else(|| self.waiting.iter().position(|queue| !queue.is_empty()))?;
+        self.passed_over[next] = 0;
+        for priority in next + 1..view::Class::PRIORITIES {
+            let is_waiting = !self.waiting[priority].is_empty();
+            self.passed_over[priority] = if is_waiting { self.passed_over[priority].saturating_add(1) } else { 0 };
+        }
+        self.waiting[next].pop_front()
+    }
+
     /// Number of shards queued here ahead of a new one of `priority`.
     pub(crate) fn waiting_ahead(&self, priority: usize) -> usize {
         self.waiting.iter().take(priority + 1).map(VecDeque::len).sum()
--- a/crates/core/src/traffic/why.rs
+++ b/crates/core/src/traffic/why.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::{clock, suspect};
+use crate::{clock, suspect, urgency};
 
 /// Maximum number of shards listed by name; the rest is counted.
 const MAX_LISTED: usize = 4;
@@ -57,6 +57,15 @@
         /// Remaining time until the answer is due.
         remaining: clock::Millis,
     },
+    /// The servers have too little capacity for requests of this urgency.
+    Urgency {
+        /// The request's level.
+        level: urgency::Level,
+        /// The threshold in force.
+        threshold: urgency::Threshold,
+        /// Time over which rejected callers are told to come back.
+        drain: clock::Millis,
+    },
     /// The caller's timeout is too short.
     ShortTimeout {
         /// The caller's timeout.
@@ -138,6 +147,10 @@
             Self::Busy { wait, attempt, remaining } => {
                 write!(f, "servers have room in about {wait}, an attempt takes {attempt}, {remaining} are left")
             }
+            Self::Urgency { level, threshold, drain } => {
+                let (level, threshold) = (level.get(), threshold.get());
+                write!(f, "level {level:.1} is above the threshold {threshold:.1}, servers have room in about {drain}")
+            }
             Self::ShortTimeout { timeout } => write!(f, "the caller gives {timeout}"),
             Self::Paused { since_resume } => {
                 write!(f, "the process went on {since_resume} ago, and its view is not confirmed")
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -320,6 +320,9 @@
                 self.at(self.now, Event::Control { host, life, input: control::Input::TrialUnused(trial) });
             }
             event::Output::Probe { .. } => panic!("no request of this simulation has a fingerprint"),
+            event::Output::Urgency(report) => {
+                self.at(self.now, Event::Control { host, life, input: control::Input::Urgency(report) });
+            }
             event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
                 self.oracle.breach(breach.name.as_str(), format!("by the program: {}", breach.detail));
@@ -458,6 +461,7 @@
             control::Output::View(view) => self.on_view(host, life, view),
             control::Output::Revalidated => self.traffic(host, [event::Input::Revalidated]),
             control::Output::Suspects(suspects) => self.traffic(host, [event::Input::Suspects(suspects)]),
+            control::Output::Urgency(states) => self.traffic(host, [event::Input::Urgency(states)]),
             control::Output::TrialGranted(trial) => self.traffic(host, [event::Input::TrialGranted(trial)]),
             control::Output::Refused { stamp, .. } => {
                 self.oracle.breach("accepted", format!("host {host} refused {stamp}"));
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -198,6 +198,7 @@
             control::Output::Revalidated
             | control::Output::Suspects(_)
             | control::Output::TrialGranted(_)
+            | control::Output::Urgency(_)
             | control::Output::Note(_)
             | control::Output::Reconnect { .. } => {}
             control::Output::List { .. } | control::Output::WatchRegistry { .. } => panic!("documents are not listed"),
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -13,7 +13,7 @@
 use shallothub_core::{
     catalog, clock, control,
     control::{message, mirror, note},
-    plan, ratio, suspect, view,
+    plan, ratio, suspect, urgency, view,
 };
 
 /// How the control cores parse the registry.
@@ -161,6 +161,8 @@
     pub notes: Vec<note::Note>,
     /// The latest standing of requests that may crash servers, as reported by the control core.
     pub suspects: Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>,
+    /// The latest thresholds of admission by urgency.
+    pub urgency: Arc<IndexMap<CompactString, urgency::State>>,
     /// Trials granted to the host and not yet taken by the test.
     pub granted: Vec<suspect::Trial>,
     pub sent_bytes: u64,
@@ -251,6 +253,7 @@
                 views: Vec::new(),
                 notes: Vec::new(),
                 suspects: Arc::default(),
+                urgency: Arc::default(),
                 granted: Vec::new(),
                 sent_bytes: 0,
                 remote_bytes: 0,
@@ -367,6 +370,7 @@
         state.views.clear();
         state.suspects = Arc::default();
         state.granted.clear();
+        state.urgency = Arc::default();
         let incarnation = state.incarnation;
         self.watches.retain(|watch| watch.host != host);
         // Its connections are closed with the process.
@@ -458,6 +462,7 @@
             control::Output::Breach(breach) => panic!("invariant violated: {breach:?}"),
             control::Output::Note(note) => self.hosts[host].notes.push(note),
             control::Output::Suspects(suspects) => self.hosts[host].suspects = suspects,
+            control::Output::Urgency(states) => self.hosts[host].urgency = states,
             control::Output::TrialGranted(trial) => self.hosts[host].granted.push(trial),
             control::Output::Revalidated => {}
             other => panic!("unexpected output with a registry: {other:?}"),
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod restored;
 mod suspects;
+mod urgency;
 
 use fleet::Fleet;
 use rstest::rstest;
--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 //! slot. Runs are deterministic for a given seed.
 
 mod leaf;
+pub mod overload;
 
 use std::{cmp, collections::BinaryHeap, sync::Arc};
 
@@ -15,6 +16,7 @@
 use shallothub_core::{
     clock, id, ratio,
     traffic::{self, event, policy},
+    urgency::exchange,
     view,
 };
 
@@ -89,6 +91,8 @@
     /// Fault of host 0 and its start, in ms.
     pub host_fault: Option<(u64, HostFault)>,
     pub injections: Vec<Injection>,
+    /// Further classes, their load and faults of the exchange of thresholds.
+    pub overload: overload::Plan,
 }
 
 impl Default for Plan {
@@ -116,6 +120,7 @@
             owners: usize::MAX,
             host_fault: None,
             injections: Vec::new(),
+            overload: overload::Plan::default(),
         }
     }
 }
@@ -153,6 +158,10 @@
     /// Maximum time to a refusal or failure, in ms.
     pub longest_refusal: u64,
     pub breaches: Vec<String>,
+    /// Ends of the tries of requests of further classes.
+    pub ends: Vec<overload::End>,
+    /// Messages of thresholds between hosts, and when the last one was sent, in ms.
+    pub messages: (u64, u64),
 }
 
 impl Outcome {
@@ -209,6 +218,7 @@
     Timer {
         host: usize,
     },
+    Overload(overload::Event),
 }
 
 /// A caller's request.
@@ -219,13 +229,36 @@
     /// Time of the current try, in ms.
     at: u64,
     is_light: bool,
+    /// Index of a further class.
+    kind: Option<usize>,
+    /// The host at which the caller retries; `None` for any.
+    home: Option<usize>,
     retries: u32,
 }
 
 impl Plan {
+    fn class_name(&self, query: &Query) -> CompactString {
+        match query.kind {
+            Some(kind) => CompactString::const_new(self.overload.kinds[kind].name),
+            None => CompactString::const_new(if query.is_light { "strip" } else { "sweep" }),
+        }
+    }
+
+    /// Mean work of a request at a leaf, in ms.
+    fn work_of(&self, query: &Query) -> f64 {
+        match query.kind {
+            Some(kind) => self.overload.kinds[kind].work,
+            None if query.is_light => self.work * LIGHT_WORK,
+            None => self.work,
+        }
+    }
+
     /// Target latency and deadline of a request, in ms.
-    fn time_limits(&self, is_light: bool) -> (u64, u64) {
-        if is_light { (self.target_latency / 2, self.deadline / 2) } else { (self.target_latency, self.deadline) }
+    fn time_limits(&self, query: &Query) -> (u64, u64) {
+        if let Some(kind) = query.kind {
+            return (self.overload.kinds[kind].target_latency, self.overload.kinds[kind].deadline);
+        }
+        if query.is_light { (self.target_latency / 2, self.deadline / 2) } else { (self.target_latency, self.deadline) }
     }
 }
 
@@ -234,6 +267,7 @@
     now: u64,
     random: rngs::SmallRng,
     hosts: Vec<traffic::Core>,
+    exchanges: Vec<exchange::Exchange>,
     leafs: Vec<leaf::Leaf>,
     /// The leaf of each unanswered attempt.
     sent: IndexMap<leaf::Sender, usize>,
@@ -310,6 +344,7 @@
         let mut simulation = Self {
             now: 1,
             random,
+            exchanges: (0..plan.hosts).map(|host| exchange::Exchange::new(format_compact!("host-{host}"))).collect(),
             hosts,
             leafs,
             sent: IndexMap::new(),
@@ -334,6 +369,7 @@
         if let Some((at, HostFault::Killed)) = simulation.plan.host_fault {
             simulation.schedule(at, Event::Kill);
         }
+        simulation.start_overload(policy.urgency.is_some());
         for host in 0..simulation.plan.hosts {
             simulation.schedule_request(host);
             simulation.schedule(TICK_INTERVAL, Event::Tick { host });
@@ -348,6 +384,9 @@
     }
 
     fn schedule_request(&mut self, host: usize) {
+        if self.plan.rate <= 0.0 {
+            return;
+        }
         let mean = 1000.0 * self.plan.hosts as f64 / self.plan.rate;
         let gap = -mean * (1.0 - self.random.random::<f64>()).ln();
         self.schedule(self.now + gap.round() as u64, Event::Request { host });
@@ -376,6 +415,7 @@
                 Event::Complete { leaf, run } => self.complete(leaf, run),
                 Event::Reply { host, attempt, reply } => self.step(host, event::Input::Reply { attempt, reply }),
                 Event::Kill => self.kill(),
+                Event::Overload(event) => self.on_overload(event),
                 Event::Tick { host } => {
                     self.step(host, event::Input::Tick);
                     self.schedule(self.now + TICK_INTERVAL, Event::Tick { host });
@@ -405,7 +445,10 @@
             self.outcome.requests += 1;
             self.utilities[usize::from(is_light)].1 += 1;
         }
-        self.send_request(host, Query { first_at: self.now, at: self.now, is_light, retries: 0 });
+        self.send_request(
+            host,
+            Query { first_at: self.now, at: self.now, is_light, kind: None, home: None, retries: 0 },
+        );
     }
 
     fn send_request(&mut self, host: usize, query: Query) {
@@ -415,10 +458,10 @@
         if self.is_measured(self.now) {
             self.first_attempts += self.plan.shards as u64;
         }
-        let (_, deadline) = self.plan.time_limits(query.is_light);
+        let (_, deadline) = self.plan.time_limits(&query);
         let request = event::Request {
             caller: id::Caller(caller),
-            class: CompactString::const_new(if query.is_light { "strip" } else { "sweep" }),
+            class: self.plan.class_name(&query),
             timeout: Some(clock::Millis((query.first_at + deadline).saturating_sub(self.now))),
             key: None,
             relayed: None,
@@ -430,13 +473,14 @@
     /// Schedules a retry at a random host if retries and time are left, after `retry_after` but at most a third of the
     /// remaining time.
     fn retry(&mut self, query: Query, retry_after: Option<clock::Millis>) -> bool {
-        let (_, deadline) = self.plan.time_limits(query.is_light);
+        let (_, deadline) = self.plan.time_limits(&query);
         let remaining = (query.first_at + deadline).saturating_sub(self.now);
         if query.retries >= self.plan.retries || remaining < 10 {
             return false;
         }
         let delay = retry_after.map_or(0, |span| span.0).min(remaining / 3);
-        let host = self.random.random_range(0..self.plan.hosts);
+        let random_host = self.random.random_range(0..self.plan.hosts);
+        let host = query.home.unwrap_or(random_host);
         self.schedule(self.now + delay, Event::Retry { host, query: Query { retries: query.retries + 1, ..query } });
         true
     }
@@ -473,12 +517,13 @@
         }
         self.next_caller += 1;
         let caller = self.next_caller;
-        let is_light = self.is_light(from, dispatch.caller.0);
+        let class =
+            self.query_of(from, dispatch.caller.0).map(|query| self.plan.class_name(&query)).unwrap_or_default();
         self.relayed.insert((host, caller), (from, dispatch.attempt));
         self.origins.insert((host, caller), (from, dispatch.caller.0));
         let request = event::Request {
             caller: id::Caller(caller),
-            class: CompactString::const_new(if is_light { "strip" } else { "sweep" }),
+            class,
             timeout: Some(dispatch.deadline - clock::Millis(self.now)),
             key: None,
             relayed: dispatch.relayed,
@@ -513,6 +558,7 @@
                     }
                 }
                 event::Output::Answer(answer) => self.on_answer(host, &answer),
+                event::Output::Urgency(report) => self.exchanges[host].report(now, report),
                 event::Output::Breach(breach) => self.outcome.breaches.push(format!("{breach:?}")),
                 _ => {}
             }
@@ -532,9 +578,10 @@
         self.plan.injections.iter().find(is_active).map(|injection| injection.fault)
     }
 
-    fn is_light(&self, host: usize, caller: u64) -> bool {
+    /// The caller's request that a request at `host` belongs to; `None` once it was answered.
+    fn query_of(&self, host: usize, caller: u64) -> Option<Query> {
         let origin = self.origins.get(&(host, caller)).copied().unwrap_or((host, caller));
-        self.queries.get(&origin).is_some_and(|query| query.is_light)
+        self.queries.get(&origin).copied()
     }
 
     /// Records that a request reached `leaf`. Over all hosts that handle it, it may reach at most two leafs of a shard.
@@ -581,8 +628,10 @@
             Some(LeafFault::Slow(factor)) => factor,
             _ => 1.0,
         };
-        let relative_work = if self.is_light(host, dispatch.caller.0) { LIGHT_WORK } else { 1.0 };
-        let work = self.plan.work * relative_work * (0.5 + self.random.random::<f64>()) * slowdown;
+        let query = self.query_of(host, dispatch.caller.0);
+        let work = query.map_or(self.plan.work, |query| self.plan.work_of(&query))
+            * (0.5 + self.random.random::<f64>())
+            * slowdown;
         let handshake = if self.leafs[leaf].connect(host) { 0 } else { self.plan.handshake };
         match self.leafs[leaf].submit(self.now, (host, attempt), work.round() as u64 + handshake) {
             Some(started) => self.schedule_completions(leaf, started),
@@ -636,6 +685,10 @@
             self.outcome.breaches.push("a request was answered twice".to_owned());
             return;
         };
+        if query.kind.is_some() {
+            self.on_end(host, query, answer);
+            return;
+        }
         if !self.is_measured(query.first_at) {
             return;
         }
@@ -647,7 +700,7 @@
             return;
         }
         let latency = self.now - query.first_at;
-        let (target_latency, _) = self.plan.time_limits(query.is_light);
+        let (target_latency, _) = self.plan.time_limits(&query);
         self.outcome.answered += 1;
         self.outcome.latencies.push(latency);
         let relayed_shards =
@@ -755,6 +808,7 @@
     };
     let mut classes = IndexMap::new();
     classes.insert(light.name.clone(), light);
+    overload::add_classes(plan, &class, &mut classes);
     classes.insert(class.name.clone(), class);
     view::View {
         stamp,
--- /dev/null
+++ b/crates/core/tests/waiting.rs
@@ -0,0 +1,83 @@
+//! The order in which requests that wait at a server are sent.
+
+#[expect(unreachable_pub, reason = "a module of this test alone")]
+mod one_leaf;
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use shallothub_core::{
+    clock, id,
+    traffic::{self, event, policy},
+    urgency::Policy,
+    view,
+};
+
+/// A core with one leaf that takes one request at a time, and the classes `ask` and `idle` of the highest and the lowest
+/// priority.
+fn core(urgency: Option<Policy>) -> traffic::Core {
+    let mut view = view::View::clone(&one_leaf::view(1));
+    let idle = view::Class { name: CompactString::const_new("idle"), priority: 3, ..view.classes[0].clone() };
+    view.classes.insert(idle.name.clone(), idle);
+    for class in view.classes.values_mut() {
+        class.deadline = clock::Millis(60_000);
+    }
+    let policy = policy::Policy { urgency, adaptive_admission: false, ..policy::Policy::default() };
+    let mut core = traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
+    core.step(clock::Millis(1), [event::Input::View(Arc::new(view))]);
+    core
+}
+
+fn dispatched(outputs: Vec<event::Output>) -> Option<(id::Attempt, id::Caller)> {
+    outputs.into_iter().find_map(|output| match output {
+        event::Output::Dispatch(dispatch) => Some((dispatch.attempt, dispatch.caller)),
+        _ => None,
+    })
+}
+
+/// Number of requests of the highest priority that are sent before one of the lowest, if 40 wait. With `swapped`, a new
+/// view swaps the priorities while they wait.
+fn sent_before(urgency: Option<Policy>, is_swapped: bool) -> usize {
+    const LAST: u64 = 42;
+    let mut core = core(urgency);
+    let mut next = dispatched(core.step(clock::Millis(2), [event::Input::Request(one_leaf::request(1))]));
+    for caller in 2..LAST {
+        core.step(clock::Millis(2), [event::Input::Request(one_leaf::request(caller))]);
+    }
+    let idle = event::Request { class: CompactString::const_new("idle"), ..one_leaf::request(LAST) };
+    core.step(clock::Millis(2), [event::Input::Request(idle)]);
+    if is_swapped {
+        let mut view = view::View::clone(core.view());
+        view.stamp.version += 1;
+        view.hosts_revision.version += 1;
+        view.classes[0].priority = 3;
+        view.classes[1].priority = 0;
+        core.step(clock::Millis(3), [event::Input::View(Arc::new(view))]);
+    }
+    for sent in 0..LAST {
+        let (attempt, caller) = next.expect("a request was sent");
+        if caller == id::Caller(LAST) {
+            return sent as usize;
+        }
+        let snapshot = view::Snapshot { epoch: 1, version: 1 };
+        let part = event::Part { snapshot, held: None, hits: 1, load: None, queue: None };
+        let reply = event::Input::Reply { attempt, reply: event::Reply::Answered(part) };
+        next = dispatched(core.step(clock::Millis(10 + sent), [reply]));
+    }
+    unreachable!("the last request was sent")
+}
+
+/// Guards against strict priority that starves the last class at a server while others keep it busy. Without admission by
+/// urgency, the order stays strict.
+#[test]
+fn each_waiting_priority_gets_some_sends() {
+    let with = sent_before(Some(Policy::default()), false);
+    assert!((10..=18).contains(&with), "{with} sent before");
+    assert_eq!(sent_before(None, false), 41);
+}
+
+/// Guards against requests that keep their place under old priorities when a new view reverses these.
+#[test]
+fn a_new_view_orders_waiting_requests() {
+    assert_eq!(sent_before(Some(Policy::default()), true), 1);
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -171,6 +171,11 @@
                     lane.send(shared::ToLane::Suspects(Arc::clone(&suspects))).ok();
                 }
             }
+            control::Output::Urgency(states) => {
+                for lane in &self.shared.lanes {
+                    lane.send(shared::ToLane::Urgency(Arc::clone(&states))).ok();
+                }
+            }
             control::Output::TrialGranted(trial) => {
                 for lane in &self.shared.lanes {
                     lane.send(shared::ToLane::TrialGranted(trial)).ok();
@@ -314,6 +319,7 @@
             members: self.core.members().map(|(name, state)| (name.clone(), state)).collect(),
             classes: classes.unwrap_or_default(),
             suspects: self.core.suspects(),
+            urgency: self.core.urgency().clone(),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
@@ -408,6 +414,13 @@
             tracing::warn!(%fingerprint, attempt = trial.attempt, "granted a trial of a suspected request");
         }
         note::Note::Cleared(fingerprint) => tracing::info!(%fingerprint, "cleared a suspected request"),
+        note::Note::Urgency(change) if change.threshold.is_open() => {
+            tracing::info!(set = %change.set, "admits requests of every urgency again");
+        }
+        note::Note::Urgency(change) => {
+            let (threshold, wait_ms) = (change.threshold.get(), change.wait.0);
+            tracing::warn!(set = %change.set, threshold, wait_ms, "rejects requests above the threshold of urgency");
+        }
         note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "ignored an entry that cannot be parsed"),
     }
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -64,6 +64,7 @@
         match message {
             shared::ToLane::View(view) => shell.step([traffic::event::Input::View(view)]),
             shared::ToLane::Suspects(suspects) => shell.step([traffic::event::Input::Suspects(suspects)]),
+            shared::ToLane::Urgency(states) => shell.step([traffic::event::Input::Urgency(states)]),
             shared::ToLane::TrialGranted(trial) => shell.step([traffic::event::Input::TrialGranted(trial)]),
             shared::ToLane::Revalidated => shell.step([traffic::event::Input::Revalidated]),
             shared::ToLane::Explain(query, reply) => {
@@ -226,6 +227,7 @@
             traffic::event::Output::Cleared(fingerprint) => self.notify_control(control::Input::Cleared(fingerprint)),
             traffic::event::Output::RequestTrial(trial) => self.notify_control(control::Input::RequestTrial(trial)),
             traffic::event::Output::TrialUnused(trial) => self.notify_control(control::Input::TrialUnused(trial)),
+            traffic::event::Output::Urgency(report) => self.notify_control(control::Input::Urgency(report)),
             traffic::event::Output::Probe { server, address } => {
                 task::spawn_local(attempt::probe(Rc::clone(self), server, address));
             }
@@ -336,6 +338,9 @@
     fn publish(&self) {
         let stats = self.state.borrow().core.stats();
         self.shared.metrics.set_lane(self.index, &stats);
+        for (class, admitted, rejected) in self.state.borrow().core.urgency_counts() {
+            self.shared.metrics.set_urgency(self.index, class, admitted, rejected);
+        }
         self.shared.lane_stats[self.index].store(Arc::new(stats));
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,8 @@
     pub breaches: IntCounterVec,
     /// Counters and table sizes of the traffic cores, by lane and name.
     pub lane: IntGaugeVec,
+    /// Requests that admission by urgency admitted and rejected, by lane, class and decision.
+    pub urgency: IntGaugeVec,
     /// Counters of the control core, by name.
     pub control: IntGaugeVec,
     /// Bytes of messages between hosts, by direction.
@@ -69,6 +71,10 @@
             answers: IntCounterVec::new(Opts::new("shallothub_answers", "Answers"), &["class", "outcome", "code"])?,
             breaches: IntCounterVec::new(Opts::new("shallothub_breaches", "Promises that did not hold"), &["promise"])?,
             lane: IntGaugeVec::new(Opts::new("shallothub_lane", "Counters and sizes of a lane"), &["lane", "name"])?,
+            urgency: IntGaugeVec::new(
+                Opts::new("shallothub_urgency", "Requests admitted and rejected by urgency"),
+                &["lane", "class", "decision"],
+            )?,
             control: IntGaugeVec::new(Opts::new("shallothub_control", "Counters of control"), &["name"])?,
             peer_bytes: IntCounterVec::new(
                 Opts::new("shallothub_peer_bytes", "Bytes of messages between hosts"),
@@ -87,6 +93,7 @@
         metrics.registry.register(Box::new(metrics.answers.clone()))?;
         metrics.registry.register(Box::new(metrics.breaches.clone()))?;
         metrics.registry.register(Box::new(metrics.lane.clone()))?;
+        metrics.registry.register(Box::new(metrics.urgency.clone()))?;
         metrics.registry.register(Box::new(metrics.control.clone()))?;
         metrics.registry.register(Box::new(metrics.connections.clone()))?;
         metrics.registry.register(Box::new(metrics.refusals.clone()))?;
@@ -151,6 +158,14 @@
         }
     }
 
+    /// Sets the numbers of requests of a class that a lane admitted and rejected by urgency.
+    pub fn set_urgency(&self, lane: usize, class: &str, admitted: u64, rejected: u64) {
+        let lane = lane.to_string();
+        for (decision, count) in [("admitted", admitted), ("rejected", rejected)] {
+            self.urgency.with_label_values(&[lane.as_str(), class, decision]).set(count as i64);
+        }
+    }
+
     /// Sets the gauges of the control core from its counters.
     pub fn set_control(&self, stats: &control::Stats) {
         let gauges = [
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use shallothub_core::{clock, control, plan, suspect, traffic, view};
+use shallothub_core::{clock, control, plan, suspect, traffic, urgency, view};
 use shallothub_settings::node;
 use shallothub_wire::protocol;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -57,6 +57,8 @@
     Revalidated,
     /// The new standings of requests that may crash servers; they replace all earlier ones.
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
+    /// The thresholds of admission by urgency, by set of servers; they replace all earlier ones.
+    Urgency(Arc<IndexMap<CompactString, urgency::State>>),
     /// The attempt of a suspected request that requested a trial may be sent.
     TrialGranted(suspect::Trial),
     /// A request to explain the query of this name; the reply is `None` if the lane does not know it.
@@ -113,6 +115,8 @@
     pub evacuated: Vec<CompactString>,
     /// This host's records of requests that may crash servers.
     pub suspects: Vec<suspect::Record>,
+    /// Thresholds of admission by urgency in force, by set of servers; empty while no wait for capacity is measured.
+    pub urgency: IndexMap<CompactString, urgency::State>,
 }
 
 /// The addresses that a node listens on, with the assigned port where the settings contain port 0.
