--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -310,6 +310,10 @@
         };
         println!("  request {fingerprint}: {standing}; lost with {}", suspect.servers.join(", "));
     }
+    for (set, state) in &status.urgency {
+        let (threshold, wait) = (state.threshold.get(), state.wait);
+        println!("  servers of {set}: admits levels below {threshold:.1}, requests wait {wait} for capacity");
+    }
     println!("  watches the platform: {}; calls so far: {}", status.watcher, status.control.platform_calls);
     for fault in &status.refused {
         println!("  refused: {fault}");
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! The settings of a node, from the file given with `--settings`.
 
-use std::net;
+use std::{net, ops};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -131,6 +131,10 @@
 /// connections to callers and backend servers.
 const MIN_DESCRIPTORS: u32 = 64;
 
+/// Permitted intervals of admission by urgency, in ms: shorter ones measure too few waits, and hosts must agree within a
+/// second.
+const URGENCY_INTERVALS: ops::RangeInclusive<u64> = 50..=1000;
+
 /// Parses and validates settings; `document` is the file name in faults.
 pub fn read(document: &str, text: &str) -> Result<Settings, Vec<plan::Fault>> {
     let settings: Settings = yaml::read(document, text)?;
@@ -192,6 +196,12 @@
     if settings.traffic.score_band < 1.0 {
         fault("`traffic.score_band` is below 1", "set it to 1 or more");
     }
+    if settings.traffic.urgency.is_some_and(|urgency| !URGENCY_INTERVALS.contains(&urgency.interval.0)) {
+        fault("`traffic.urgency.interval` is not from 50 to 1000 ms", "set it to 50 or more, and at most 1000");
+    }
+    if settings.control.share_urgency && settings.traffic.urgency.is_none() {
+        fault("`control.share_urgency` is set without `traffic.urgency`", "set `traffic.urgency`, such as to {}");
+    }
     if settings.control.warm_up_overage < 1.0 || settings.control.warm_up_slack < 0.0 {
         fault("`control.warm_up_overage` is below 1, or `warm_up_slack` below 0", "set them to 1 and 0 or more");
     }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -123,6 +123,9 @@
 #[case::silence("traffic: {silence_quantile: 0}", "is no quantile")]
 #[case::region("regions: {north: \"\"}", "without a name")]
 #[case::overage("control: {warm_up_overage: 0.5}", "`control.warm_up_overage` is below 1")]
+#[case::interval("traffic: {urgency: {interval: 10}}", "`traffic.urgency.interval` is not from 50 to 1000 ms")]
+#[case::floor("traffic: {urgency: {floor: 1.5}}", "is not a share")]
+#[case::unused_exchange("control: {share_urgency: true}", "without `traffic.urgency`")]
 #[case::watchers("control: {watchers: 0}", "no watchers")]
 fn a_setting_out_of_range_has_a_remedy(#[case] line: &str, #[case] problem: &str) {
     let text = format!(
