--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -272,6 +272,7 @@
                 | event::Output::Observed(_)
                 | event::Output::RequestTrial(_)
                 | event::Output::TrialUnused(_)
+                | event::Output::Urgency(_)
                 | event::Output::Probe { .. }
                 | event::Output::Cleared(_)
                 | event::Output::Note(_) => {}
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, evidence, id, invariant, plan, plan::gatherers, suspect, view};
+use crate::{catalog, clock, evidence, id, invariant, plan, plan::gatherers, suspect, urgency, view};
 
 use super::{message, mirror, note};
 
@@ -69,6 +69,8 @@
         /// The new rate.
         demand: gatherers::Demand,
     },
+    /// A lane's measurements for admission by urgency.
+    Urgency(urgency::Report),
 }
 
 /// An action for the shell to perform.
@@ -129,6 +131,8 @@
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
     /// The new standings of backend servers that deviate from the usual; they replace all earlier ones.
     Evidence(Arc<IndexMap<id::Server, evidence::Standing>>),
+    /// The thresholds in force by set of servers; they replace all earlier ones.
+    Urgency(Arc<IndexMap<CompactString, urgency::State>>),
     /// The attempt that requested a trial with [`Input::RequestTrial`] may be sent.
     TrialGranted(suspect::Trial),
     /// The view was confirmed after [`Input::Revalidate`].
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -372,6 +372,7 @@
             message::Body::AskTrial(trial) => self.on_trial_request(message.from, *trial),
             message::Body::GrantTrial(trial) => self.on_grant_trial(*trial),
             message::Body::Evidence(update) => self.on_evidence(&update),
+            message::Body::Urgency(records) => self.on_urgency_records(records),
         }
     }
 
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,7 +11,7 @@
 //! and the last valid one stays in force.
 
 mod event;
-mod exchange;
+mod evidence;
 mod gatherers;
 mod gossip;
 mod history;
@@ -29,6 +29,7 @@
 mod spread;
 mod start;
 mod suspects;
+mod urgency;
 mod views;
 
 pub use event::{Input, Output, Stats};
@@ -42,7 +43,7 @@
 use replica::{Announcement, Replica};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog, clock, id, plan, plan::gatherers::transition, suspect, view};
+use crate::{catalog, clock, id, plan, plan::gatherers::transition, suspect, urgency::exchange, view};
 
 /// The identity of this host and its static settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,8 +142,9 @@
     incarnations: incarnation::Incarnations,
     restore_overrides: restored::Overrides,
     suspects: suspects::Suspects,
-    exchange: exchange::Exchange,
+    exchange: evidence::Exchange,
     gatherers: gatherers::Gatherers,
+    urgency: exchange::Exchange,
     gossip_at: clock::Millis,
     started_at: clock::Millis,
     standing: Standing,
@@ -163,7 +165,8 @@
     pub fn new(policy: Policy, identity: Identity, reader: Reader, seed: u64, now: clock::Millis) -> Self {
         let mut random = rngs::SmallRng::seed_from_u64(seed);
         let start = start::Start::new(now, &mut random);
-        let exchange = exchange::Exchange::new(policy.evidence, &identity.name, seed, now);
+        let exchange = evidence::Exchange::new(policy.evidence, &identity.name, seed, now);
+        let urgency = exchange::Exchange::new(identity.name.clone());
         let mut core = Self {
             policy,
             identity,
@@ -192,6 +195,7 @@
             suspects: suspects::Suspects::default(),
             exchange,
             gatherers: gatherers::Gatherers::default(),
+            urgency,
             gossip_at: now,
             started_at: now,
             standing: match reader.source {
@@ -228,6 +232,7 @@
         self.exchange_evidence();
         self.publish_demand();
         self.choose_if_due();
+        self.advance_urgency();
         self.compile_if_due();
         self.count_outputs()
     }
@@ -242,7 +247,8 @@
                     .spread_timer()
                     .min(self.suspects_timer())
                     .min(self.evidence_timer())
-                    .min(self.gatherers_timer());
+                    .min(self.gatherers_timer())
+                    .min(self.urgency.next_timer());
                 self.gossip_at.min(self.reply_check_at).min(outgoing).min(self.registry_timer()).min(compile)
             }
         }
@@ -266,6 +272,7 @@
             Input::Release(fingerprint) => self.on_release(fingerprint),
             Input::Observed(samples) => self.on_observed(&samples),
             Input::Demand { lane, demand } => self.on_demand(lane, demand),
+            Input::Urgency(report) => self.urgency.report(self.now, report),
         }
     }
 
--- a/crates/core/src/control/note.rs
+++ b/crates/core/src/control/note.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::{catalog, clock, plan, plan::gatherers::transition, revision, suspect, view};
+use crate::{catalog, clock, plan, plan::gatherers::transition, revision, suspect, urgency::exchange, view};
 
 /// An event for the host's log.
 #[derive(Clone, Debug, PartialEq)]
@@ -140,6 +140,8 @@
         /// Number of servers with a standing now.
         standings: usize,
     },
+    /// A threshold of admission by urgency has started or ceased to reject requests.
+    Urgency(exchange::Change),
     /// An entry could not be parsed and is ignored.
     Unreadable(plan::Fault),
     /// The hosts that gather for a set of shards changed.
--- a/crates/core/src/control/policy.rs
+++ b/crates/core/src/control/policy.rs
@@ -47,6 +47,8 @@
     pub evidence: Option<evidence::Policy>,
     /// How many hosts gather, by demand and strength. Default none: all that are strong enough gather.
     pub gatherers: Option<gatherers::Policy>,
+    /// Whether hosts exchange their thresholds of admission by urgency. Otherwise each uses its own. Default false.
+    pub share_urgency: bool,
 }
 
 impl Default for Policy {
@@ -67,6 +69,7 @@
             warm_up_slack: 0.0,
             evidence: None,
             gatherers: None,
+            share_urgency: false,
         }
     }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -8,7 +8,8 @@
 //! Each system has its own module: `admit` (limits and refusals), `choose` (replica selection, by [`estimate`]),
 //! `dispatch` (sending, per-server queues, retries), [`warm_up`] (servers that have just started),
 //! `suspect` (requests that crash servers), [`repeats`] and `judge` (the plan of repeats), `hedge` (silent
-//! attempts), `gather` (snapshots, coverage, answers) and `observe` (reports on servers that deviate from the usual).
+//! attempts), `gather` (snapshots, coverage, answers), `observe` (reports on servers that deviate from the usual) and
+//! `urgency` (admission while shared servers lack capacity).
 
 mod admit;
 mod capacity;
@@ -35,6 +36,7 @@
 pub mod summary;
 mod suspect;
 mod timer;
+mod urgency;
 pub mod warm_up;
 pub mod why;
 
@@ -91,6 +93,7 @@
     /// Searches that wait for tokens or are to be planned.
     agenda: judge::Agenda,
     demand: demand::Meter,
+    urgency: urgency::Urgency,
     ejected: usize,
     /// Standings of servers that other hosts report on; see [`crate::evidence`].
     standings: Arc<IndexMap<id::Server, evidence::Standing>>,
@@ -128,6 +131,7 @@
             fleet,
             agenda: judge::Agenda::default(),
             demand: demand::Meter::new(now),
+            urgency: urgency::Urgency::new(seed),
             ejected: 0,
             standings: Arc::default(),
             report: standing::Report::default(),
@@ -163,6 +167,7 @@
         self.plan_due();
         self.report_standings();
         self.report_demand();
+        self.report_urgency();
         std::mem::take(&mut self.outputs)
     }
 
@@ -273,6 +278,7 @@
             Input::Revalidated => self.on_revalidated(),
             Input::Suspects(suspects) => self.on_suspects(suspects),
             Input::Evidence(standings) => self.on_evidence(standings),
+            Input::Urgency(states) => self.on_urgency(states),
             Input::TrialGranted(trial) => self.on_trial_granted(trial),
             Input::Probed { server, liveness } => self.on_probed(server, liveness),
             Input::Tick => {}
@@ -289,6 +295,7 @@
         self.clear_replaced(&view);
         self.observations.set_view(&view);
         self.view = view;
+        self.refresh_urgency();
         let equal_share = 1.0 / f64::from(self.view.hosts.max(1));
         self.fleet.set_limit_shares(self.now, equal_share, &self.view.limit_shares, self.lane.count.max(1));
         self.servers.resize_with(self.view.servers.len().max(self.servers.len()), Default::default);
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock, ratio};
+use crate::{clock, ratio, urgency};
 
 /// Settings of one traffic core. `docs/design/` lists the alternatives considered for each.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -92,6 +92,9 @@
     pub plan_repeats: bool,
     /// This host's share of the fleet-wide bound on extra attempts at each service. Default none.
     pub fleet: Option<Fleet>,
+    /// Whether requests are admitted by urgency while shared servers lack capacity, and how. Default none: each host
+    /// then decides by its own queues alone.
+    pub urgency: Option<urgency::Policy>,
 }
 
 /// A bound on extra attempts at one service, over all hosts and any window of time.
@@ -150,6 +153,7 @@
             min_replicas: 3,
             plan_repeats: false,
             fleet: None,
+            urgency: None,
         }
     }
 }
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -324,6 +324,9 @@
             event::Output::Demand { lane, demand } => {
                 self.at(self.now, Event::Control { host, life, input: control::Input::Demand { lane, demand } });
             }
+            event::Output::Urgency(report) => {
+                self.at(self.now, Event::Control { host, life, input: control::Input::Urgency(report) });
+            }
             event::Output::Trim { .. } | event::Output::Note(_) => {}
             event::Output::Breach(breach) => {
                 self.oracle.breach(breach.name.as_str(), format!("by the program: {}", breach.detail));
@@ -463,6 +466,7 @@
             control::Output::Revalidated => self.traffic(host, [event::Input::Revalidated]),
             control::Output::Suspects(suspects) => self.traffic(host, [event::Input::Suspects(suspects)]),
             control::Output::Evidence(standings) => self.traffic(host, [event::Input::Evidence(standings)]),
+            control::Output::Urgency(states) => self.traffic(host, [event::Input::Urgency(states)]),
             control::Output::TrialGranted(trial) => self.traffic(host, [event::Input::TrialGranted(trial)]),
             control::Output::Refused { stamp, .. } => {
                 self.oracle.breach("accepted", format!("host {host} refused {stamp}"));
--- a/crates/core/tests/registry/fleet.rs
+++ b/crates/core/tests/registry/fleet.rs
@@ -13,7 +13,7 @@
 use shallothub_core::{
     catalog, clock, control,
     control::{message, mirror, note},
-    evidence, id, plan, ratio, suspect, view,
+    evidence, id, plan, ratio, suspect, urgency, view,
 };
 
 /// How the control cores parse the registry.
@@ -178,6 +178,8 @@
     /// Bytes and number of the messages with evidence about servers that it sent.
     pub evidence_bytes: u64,
     pub evidence_messages: u64,
+    /// The latest thresholds of admission by urgency.
+    pub urgency: Arc<IndexMap<CompactString, urgency::State>>,
     /// Trials granted to the host and not yet taken by the test.
     pub granted: Vec<suspect::Trial>,
     pub sent_bytes: u64,
@@ -320,6 +322,7 @@
                 standings: Arc::default(),
                 evidence_bytes: 0,
                 evidence_messages: 0,
+                urgency: Arc::default(),
                 granted: Vec::new(),
                 sent_bytes: 0,
                 remote_bytes: 0,
@@ -448,6 +451,7 @@
         state.suspects = Arc::default();
         state.standings = Arc::default();
         state.granted.clear();
+        state.urgency = Arc::default();
         let incarnation = state.incarnation;
         self.watches.retain(|watch| watch.host != host);
         // Its connections are closed with the process.
@@ -553,6 +557,7 @@
             control::Output::Breach(breach) => panic!("invariant violated: {breach:?}"),
             control::Output::Note(note) => self.hosts[host].notes.push(note),
             control::Output::Suspects(suspects) => self.hosts[host].suspects = suspects,
+            control::Output::Urgency(states) => self.hosts[host].urgency = states,
             control::Output::TrialGranted(trial) => self.hosts[host].granted.push(trial),
             control::Output::Evidence(standings) => self.hosts[host].standings = standings,
             control::Output::Revalidated => {}
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -11,6 +11,7 @@
 mod gatherers;
 mod restored;
 mod suspects;
+mod urgency;
 
 use fleet::Fleet;
 use rstest::rstest;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -178,6 +178,11 @@
                     lane.send(shared::ToLane::Evidence(Arc::clone(&standings))).ok();
                 }
             }
+            control::Output::Urgency(states) => {
+                for lane in &self.shared.lanes {
+                    lane.send(shared::ToLane::Urgency(Arc::clone(&states))).ok();
+                }
+            }
             control::Output::TrialGranted(trial) => {
                 for lane in &self.shared.lanes {
                     lane.send(shared::ToLane::TrialGranted(trial)).ok();
@@ -325,6 +330,7 @@
             demand: stats.demand,
             gathering: self.core.gathering().cloned().collect(),
             held: self.shared.memory.as_ref().map(|memory| memory.status()),
+            urgency: self.core.urgency().clone(),
             evacuated: self.core.view().map(|view| view.evacuated.iter().cloned().collect()).unwrap_or_default(),
         }));
     }
@@ -437,6 +443,13 @@
             let reason = gathering.reason.as_str();
             tracing::info!(set, hosts = listed, gathering_hosts, demand, reason, "the gathering hosts changed");
         }
+        note::Note::Urgency(change) if change.threshold.is_open() => {
+            tracing::info!(set = %change.set, "admits requests of every urgency again");
+        }
+        note::Note::Urgency(change) => {
+            let (threshold, wait_ms) = (change.threshold.get(), change.wait.0);
+            tracing::warn!(set = %change.set, threshold, wait_ms, "rejects requests above the threshold of urgency");
+        }
         note::Note::Unreadable(fault) => tracing::warn!(detail = %fault, "ignored an entry that cannot be parsed"),
     }
 }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -69,6 +69,7 @@
             shared::ToLane::View(view) => shell.step([traffic::event::Input::View(view)]),
             shared::ToLane::Suspects(suspects) => shell.step([traffic::event::Input::Suspects(suspects)]),
             shared::ToLane::Evidence(standings) => shell.step([traffic::event::Input::Evidence(standings)]),
+            shared::ToLane::Urgency(states) => shell.step([traffic::event::Input::Urgency(states)]),
             shared::ToLane::TrialGranted(trial) => shell.step([traffic::event::Input::TrialGranted(trial)]),
             shared::ToLane::Revalidated => shell.step([traffic::event::Input::Revalidated]),
             shared::ToLane::Explain(query, reply) => {
@@ -248,6 +249,7 @@
             traffic::event::Output::Demand { lane, demand } => {
                 self.notify_control(control::Input::Demand { lane, demand });
             }
+            traffic::event::Output::Urgency(report) => self.notify_control(control::Input::Urgency(report)),
             traffic::event::Output::Probe { server, address } => {
                 task::spawn_local(attempt::probe(Rc::clone(self), server, address));
             }
@@ -375,6 +377,9 @@
     fn publish(&self) {
         let stats = self.state.borrow().core.stats();
         self.shared.metrics.set_lane(self.index, &stats);
+        for (class, admitted, rejected) in self.state.borrow().core.urgency_counts() {
+            self.shared.metrics.set_urgency(self.index, class, admitted, rejected);
+        }
         self.shared.lane_stats[self.index].store(Arc::new(stats));
         if let Some(memory) = &self.shared.memory {
             memory.tick(self.now());
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,7 +15,7 @@
 use shallothub_core::{
     clock, control, evidence, id, plan,
     plan::gatherers::{self, transition},
-    suspect, traffic, view,
+    suspect, traffic, urgency, view,
 };
 use shallothub_settings::node;
 use shallothub_wire::protocol;
@@ -63,6 +63,8 @@
     Suspects(Arc<IndexMap<suspect::Fingerprint, suspect::Standing>>),
     /// The new standings of backend servers that deviate from the usual; they replace all earlier ones.
     Evidence(Arc<IndexMap<id::Server, evidence::Standing>>),
+    /// The thresholds of admission by urgency, by set of servers; they replace all earlier ones.
+    Urgency(Arc<IndexMap<CompactString, urgency::State>>),
     /// The attempt of a suspected request that requested a trial may be sent.
     TrialGranted(suspect::Trial),
     /// A request to explain the query of this name; the reply is `None` if the lane does not know it.
@@ -127,6 +129,8 @@
     pub gathering: Vec<transition::Gathering>,
     /// Bytes held by the process; `None` if no bound on memory is set.
     pub held: Option<memory::Status>,
+    /// Thresholds of admission by urgency in force, by set of servers; empty while no wait for capacity is measured.
+    pub urgency: IndexMap<CompactString, urgency::State>,
 }
 
 /// The addresses that a node listens on, with the assigned port where the settings contain port 0.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! The settings of a node, from the file given with `--settings`.
 
-use std::net;
+use std::{net, ops};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -167,6 +167,9 @@
 const MIN_MEMORY_MB: u32 = 40;
 /// Maximum of `memory.mark`: without room above it, urgent requests are refused together with all others.
 const MAX_MARK: f64 = 0.8;
+/// Permitted intervals of admission by urgency, in ms: shorter ones measure too few waits, and hosts must agree within a
+/// second.
+const URGENCY_INTERVALS: ops::RangeInclusive<u64> = 50..=1000;
 
 /// Parses and validates settings; `document` is the file name in faults.
 pub fn read(document: &str, text: &str) -> Result<Settings, Vec<plan::Fault>> {
@@ -246,6 +249,12 @@
     if settings.traffic.expected_time && settings.traffic.far_cost < 1.0 {
         fault("`traffic.far_cost` is below 1, with `expected_time`", "set it to 1 or more");
     }
+    if settings.traffic.urgency.is_some_and(|urgency| !URGENCY_INTERVALS.contains(&urgency.interval.0)) {
+        fault("`traffic.urgency.interval` is not from 50 to 1000 ms", "set it to 50 or more, and at most 1000");
+    }
+    if settings.control.share_urgency && settings.traffic.urgency.is_none() {
+        fault("`control.share_urgency` is set without `traffic.urgency`", "set `traffic.urgency`, such as to {}");
+    }
     if settings.control.warm_up_overage < 1.0 || settings.control.warm_up_slack < 0.0 {
         fault("`control.warm_up_overage` is below 1, or `warm_up_slack` below 0", "set them to 1 and 0 or more");
     }
