Send evidence only to gathering hosts, and demand only where it is needed

Cause: on a deployment of 65 hosts with six that gather, evidence went to all hosts, and each digest of a host without standings brought an update in return. Change: evidence goes to the hosts that gather, where these are chosen; a demand that cannot change the choice is not published.

--- a/crates/core/src/control/evidence.rs
+++ b/crates/core/src/control/evidence.rs
@@ -1,7 +1,8 @@
 //! Exchange of evidence about backend servers; see [`crate::evidence`].
 //!
 //! An opinion is sent to a few random hosts at once, and each host to which it is new sends it on in the same way, until
-//! it has reached all of them with high probability. Updates are limited in number and bytes. When
+//! it has reached all of them with high probability. Where gathering hosts are chosen, only they receive evidence: the
+//! others send requests to few of the servers, and most bytes would go to hosts that cannot use them. Updates are limited in number and bytes. When
 //! there is more to send than that allows, the most severe and newest opinions go first.
 //!
 //! Digests contain a digest of the set of servers with a standing. A host whose set differs, because it was partitioned
@@ -12,7 +13,7 @@
 use compact_str::CompactString;
 use indexmap::IndexMap;
 
-use crate::{clock, evidence, id, view};
+use crate::{clock, evidence, id, plan, view};
 
 use super::{Core, Output, message, note};
 
@@ -108,7 +109,8 @@
         };
         let servers = evidence::keys(view, policy.min_replicas);
         view.evidence = Some(policy).filter(|_| !servers.is_empty());
-        self.exchange.table.set_servers(servers, self.peers.len() + 1);
+        let hosts = self.peers.values().filter(|host| self.uses_evidence(host)).count() + 1;
+        self.exchange.table.set_servers(servers, hosts);
         self.exchange.is_changed |= !self.exchange.published.is_empty();
     }
 
@@ -166,7 +168,7 @@
     fn send_evidence(&mut self) {
         let affordable = (self.exchange.bytes / self.exchange.next_size()).min(self.exchange.messages);
         // A waiting time is rounded, so that the last message may be short of one by a rounding error.
-        let peers = self.random_peers((affordable + 0.001) as usize);
+        let peers = self.evidence_peers((affordable + 0.001) as usize);
         self.exchange.messages -= peers.len().max(1) as f64;
         if peers.is_empty() {
             return;
@@ -178,6 +180,19 @@
         }
     }
 
+    /// Whether evidence is sent to a host: to those that gather, and to all where gathering hosts are not chosen.
+    fn uses_evidence(&self, host: &plan::EntryHost) -> bool {
+        let mut sets = self.gatherers.transitions.all().peekable();
+        sets.peek().is_none() || sets.any(|gathering| gathering.hosts.contains(&host.name))
+    }
+
+    /// Up to `count` random live hosts that use evidence.
+    fn evidence_peers(&mut self, count: usize) -> Vec<CompactString> {
+        let is_live = |host: &&plan::EntryHost| host.state == plan::State::Live && self.uses_evidence(host);
+        let others = self.peers.values().filter(is_live).map(|host| host.peer.clone()).collect();
+        self.pick_random(others, count)
+    }
+
     fn send_records(&mut self, to: CompactString, records: Vec<evidence::Record>) {
         if records.is_empty() {
             return;
@@ -195,6 +210,9 @@
         let Some(policy) = self.exchange.policy else {
             return;
         };
+        if self.peers.get(to).is_some_and(|host| !self.uses_evidence(host)) {
+            return;
+        }
         let own = self.exchange.table.digest();
         let is_busy = self.exchange.table.has_update() && digest != 0;
         if own == digest || own == 0 || is_busy || self.now.since(self.exchange.synced_at) < policy.interval {
--- a/crates/core/src/control/gatherers.rs
+++ b/crates/core/src/control/gatherers.rs
@@ -25,6 +25,8 @@
 /// The same for each member, so that the records that change in a second do not grow with the number of hosts. At this
 /// interval at most 20 do, and each digest carries eight.
 const PUBLISH_INTERVAL_PER_MEMBER: clock::Millis = clock::Millis(50);
+/// Pause before the next check whether the demand is needed, where it was not.
+const UNUSED_PAUSE: clock::Millis = clock::Millis(5000);
 /// Minimum time between two choices if only demand changed. A choice sorts all members, and when load rises the demand
 /// of most hosts changes within seconds.
 const CHOICE_INTERVAL: clock::Millis = clock::Millis(500);
@@ -83,6 +85,10 @@
         if self.gatherers.publish_at.is_none_or(|at| at > self.now) {
             return;
         }
+        if !self.needs_demand() {
+            self.gatherers.publish_at = Some(self.now + UNUSED_PAUSE);
+            return;
+        }
         self.gatherers.publish_at = None;
         self.gatherers.published = self.measured_demand();
         self.gatherers.published_at = self.now;
@@ -92,6 +98,15 @@
         self.schedule_choice();
     }
 
+    /// Whether the demand affects the choice of gathering hosts: not where no more hosts qualify than the minimum.
+    fn needs_demand(&self) -> bool {
+        let min = self.policy.gatherers.map_or(0, |policy| policy.min as usize);
+        let is_fixed = |gathering: &transition::Gathering| {
+            gathering.reason == gatherers::Reason::AllNeeded && gathering.hosts.len() <= min
+        };
+        !self.gatherers.transitions.all().all(is_fixed)
+    }
+
     /// Sends this host's record to the hosts that may hold connections to servers of gathers. Their number is bounded by
     /// the connections of a server, however many hosts there are.
     fn notify_holders(&mut self) {
--- a/crates/core/src/control/gossip.rs
+++ b/crates/core/src/control/gossip.rs
@@ -245,8 +245,12 @@
     /// Up to `count` random live hosts.
     pub(super) fn random_peers(&mut self, count: usize) -> Vec<CompactString> {
         let is_live = |host: &&crate::plan::EntryHost| host.state == crate::plan::State::Live;
-        let mut others: Vec<CompactString> =
-            self.peers.values().filter(is_live).map(|host| host.peer.clone()).collect();
+        let others = self.peers.values().filter(is_live).map(|host| host.peer.clone()).collect();
+        self.pick_random(others, count)
+    }
+
+    /// Up to `count` random elements of `others`.
+    pub(super) fn pick_random(&mut self, mut others: Vec<CompactString>, count: usize) -> Vec<CompactString> {
         let mut chosen = Vec::new();
         while chosen.len() < count && !others.is_empty() {
             let index = self.random.random_range(0..others.len());
