--- a/crates/core/src/control/evidence.rs
+++ b/crates/core/src/control/evidence.rs
@@ -204,8 +204,8 @@
         self.send_uncompressed(to, message::Body::Evidence(evidence::Update { records }));
     }
 
-    /// Sends an update to a host whose digest of the standings differs. While there is news to send, only a host
-    /// without any standings gets one, because the others are probably about to get the news.
+    /// Sends an update to a host whose digest of the standings differs. While opinions wait to be sent, only a host
+    /// without any standings gets one, because the others are probably about to get them.
     pub(super) fn sync_evidence(&mut self, to: &CompactString, digest: u32) {
         let Some(policy) = self.exchange.policy else {
             return;
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -46,7 +46,7 @@
     GrantTrial(Box<Trial>),
     /// Opinions on backend servers that deviate from the usual.
     Evidence(evidence::Update),
-    /// Thresholds of admission by urgency, of the sender and of hosts that it has heard from.
+    /// Thresholds of admission by urgency, of the sender and of hosts whose records it received.
     Urgency(Vec<exchange::Record>),
 }
 
