Let admitted work grow by the measured wait

Cause: after a cut, admitted work grew by 1% in each interval of 200 ms. The growth doubled only after whole intervals with a wait below a tenth of the limit and fell back to 1% after each other one, so a cut by a quarter took six seconds.

Ruled out: the median (the thresholds of honest hosts agreed) and the measurement of the wait.

Change: the growth is 1% above half of the limit, as specified, and rises to 8% without a wait. It needs no state, and is small where the wait shows that the capacity is nearly reached.

--- a/crates/core/src/urgency.rs
+++ b/crates/core/src/urgency.rs
@@ -47,11 +47,10 @@
 /// Growth after the end of an overload, relative to the work that servers can run. From a fifth of it, a threshold opens in
 /// three intervals.
 const RELEASE: f64 = 0.32;
-/// Fraction of the limit below which servers count as idle.
-const IDLE_FRACTION: f64 = 0.1;
-/// Maximum number of doublings of the growth, one for each interval in which servers are idle. Servers that are idle while
-/// requests are rejected have more capacity than the threshold admits.
-const MAX_DOUBLINGS: u32 = 4;
+/// Fraction of the limit below which a wait shows that servers have more capacity than the threshold admits.
+const ROOM_FRACTION: f64 = 0.5;
+/// Number of doublings of the growth while there is no wait, and fewer in proportion to it.
+const MAX_DOUBLINGS: f64 = 3.0;
 /// Iterations of the search for a threshold, which is then exact to less than a thousandth of a bucket.
 const SEARCH_STEPS: u32 = 24;
 /// Fraction of the most urgent class's target latency that the wait for capacity may take. The rest is needed for the
@@ -259,8 +258,6 @@
     target: Option<f64>,
     /// Wait in the previous interval.
     wait: f64,
-    /// Number of consecutive intervals in which the servers were idle.
-    idle_intervals: u32,
 }
 
 impl Controller {
@@ -275,13 +272,11 @@
         let last_wait = std::mem::replace(&mut self.wait, interval.wait);
         // Waits are known only once requests end, so a rising wait counts with its expected value in the next interval.
         let rise = if self.target.is_some() { (interval.wait - last_wait).max(0.0) } else { 0.0 };
-        if interval.wait + rise > limit {
-            self.idle_intervals = 0;
-            self.target = Some(self.lowered(interval, interval.wait < last_wait * DRAINING));
+        self.target = if interval.wait + rise > limit {
+            Some(self.lowered(interval, interval.wait < last_wait * DRAINING))
         } else {
-            self.idle_intervals = if interval.wait < limit * IDLE_FRACTION { self.idle_intervals + 1 } else { 0 };
-            self.target = self.target.map(|target| self.raised(interval, target));
-        }
+            self.target.map(|target| self.raised(interval, target))
+        };
         self.refresh(interval, floor);
     }
 
@@ -306,11 +301,8 @@
         if new_demand < interval.capacity * RELEASE_FRACTION {
             return target + target.max(interval.capacity) * RELEASE;
         }
-        if self.idle_intervals == 0 {
-            return target * (1.0 + INCREASE);
-        }
-        let doublings = self.idle_intervals.min(MAX_DOUBLINGS);
-        target + target.max(interval.capacity) * INCREASE * f64::from(1_u32 << doublings)
+        let slack = (1.0 - interval.wait / (interval.limit.0 as f64 * ROOM_FRACTION)).max(0.0);
+        target + target.max(interval.capacity) * INCREASE * (MAX_DOUBLINGS * slack).exp2()
     }
 
     /// Sets the threshold from the target, and forgets a target that the demand is clearly below.
--- a/crates/core/tests/urgency.rs
+++ b/crates/core/tests/urgency.rs
@@ -71,6 +71,19 @@
     assert!(demand(2000.0).admission(controller.threshold(), 0.25) * 2000.0 > 700.0);
 }
 
+/// Guards against a threshold that takes many seconds to follow the capacity while servers have no wait.
+#[test]
+fn admitted_work_grows_fast_without_a_wait() {
+    let mut controller = Controller::default();
+    let admitted = |controller: &Controller| demand(3000.0).admission(controller.threshold(), 0.25) * 3000.0;
+    controller.step(&interval(60.0, 3000.0, 1000.0), 0.25);
+    assert!(admitted(&controller) < 800.0);
+    for _ in 0..10 {
+        controller.step(&interval(1.0, 3000.0, admitted(&controller)), 0.25);
+    }
+    assert!(admitted(&controller) >= 900.0, "{}", admitted(&controller));
+}
+
 fn level(priority: u8, hash: u64, is_returner: bool, is_excess: bool) -> Level {
     Level::new(&Arrival { priority, hash, is_returner, is_excess })
 }
