Begin no rejections with the waits of an outage

Cause: waits are known once requests end, so for the longest deadline after an outage they are those of requests that it delayed. The controller took them for an overload and set a target below the demand that had been served before.

Ruled out: returning callers, which cause none of it without thresholds.

--- a/crates/core/src/urgency.rs
+++ b/crates/core/src/urgency.rs
@@ -51,6 +51,8 @@
 const ROOM_FRACTION: f64 = 0.5;
 /// Number of doublings of the growth while there is no wait, and fewer in proportion to it.
 const MAX_DOUBLINGS: f64 = 3.0;
+/// Number of intervals after an outage in which no rejection begins. The waits that end then began in the outage.
+const RECOVERY_INTERVALS: u32 = 10;
 /// Iterations of the search for a threshold, which is then exact to less than a thousandth of a bucket.
 const SEARCH_STEPS: u32 = 24;
 /// Fraction of the most urgent class's target latency that the wait for capacity may take. The rest is needed for the
@@ -247,6 +249,19 @@
     pub capacity: f64,
 }
 
+impl Interval {
+    /// Whether the servers run so little that they are out of order. Rejections do not help them, and would keep callers
+    /// out once they run again.
+    fn is_outage(&self) -> bool {
+        self.served < self.capacity * OUTAGE_FRACTION
+    }
+
+    /// Whether servers run at least what new callers ask for, so that a backlog drains without rejections.
+    fn is_draining_unaided(&self) -> bool {
+        self.served >= self.demand.new.iter().sum()
+    }
+}
+
 /// Adjusts one host's threshold for one set of servers.
 ///
 /// What is adjusted is the work that is admitted, and the threshold follows from it and from the demand. So a change of the
@@ -258,6 +273,8 @@
     target: Option<f64>,
     /// Wait in the previous interval.
     wait: f64,
+    /// Number of intervals until the waits measured are no longer those of an outage; 0 if there was none.
+    recovery_intervals: u32,
 }
 
 impl Controller {
@@ -266,16 +283,26 @@
         self.threshold
     }
 
+    /// Whether an outage has ended so recently that its waits are still measured.
+    pub fn is_recovering(&self) -> bool {
+        self.recovery_intervals > 0
+    }
+
     /// Adjusts the threshold after an interval.
     pub fn step(&mut self, interval: &Interval, floor: f64) {
         let limit = interval.limit.0 as f64;
         let last_wait = std::mem::replace(&mut self.wait, interval.wait);
         // Waits are known only once requests end, so a rising wait counts with its expected value in the next interval.
         let rise = if self.target.is_some() { (interval.wait - last_wait).max(0.0) } else { 0.0 };
-        self.target = if interval.wait + rise > limit {
-            Some(self.lowered(interval, interval.wait < last_wait * DRAINING))
-        } else {
-            self.target.map(|target| self.raised(interval, target))
+        let is_over = interval.wait + rise > limit;
+        self.recovery_intervals = match self.target {
+            None if is_over && interval.is_outage() => RECOVERY_INTERVALS,
+            _ => self.recovery_intervals.saturating_sub(1),
+        };
+        self.target = match self.target {
+            None if self.is_recovering() || interval.is_draining_unaided() => None,
+            _ if is_over => Some(self.lowered(interval, interval.wait < last_wait * DRAINING)),
+            target => target.map(|target| self.raised(interval, target)),
         };
         self.refresh(interval, floor);
     }
--- a/crates/core/src/urgency/exchange.rs
+++ b/crates/core/src/urgency/exchange.rs
@@ -276,7 +276,8 @@
             let votes = votes(&self.others, name);
             adjust(set, &votes, now, self.policy);
             let is_any_rejecting = votes.iter().any(|vote| vote.waits > 0 && !vote.threshold.is_open());
-            if set.applied.is_open() && set.controller.threshold().is_open() && !is_any_rejecting {
+            let is_open = set.applied.is_open() && set.controller.threshold().is_open();
+            if is_open && !set.controller.is_recovering() && !is_any_rejecting {
                 ended.push(name.clone());
                 continue;
             }
--- a/crates/core/tests/urgency.rs
+++ b/crates/core/tests/urgency.rs
@@ -84,6 +84,26 @@
     assert!(admitted(&controller) >= 900.0, "{}", admitted(&controller));
 }
 
+/// Guards against rejections that begin with the waits of an outage, and that last while its backlog drains.
+#[test]
+fn an_outage_begins_no_rejections() {
+    let mut controller = Controller::default();
+    let mut step = |wait: f64, served: f64| {
+        controller.step(&Interval { capacity: 1000.0, ..interval(wait, 900.0, served) }, 0.25);
+        controller.threshold().is_open()
+    };
+    for _ in 0..10 {
+        assert!(step(600.0, 0.0), "rejects during the outage");
+    }
+    for served in [200.0, 500.0, 800.0, 1000.0, 1000.0, 1000.0, 1000.0, 1000.0] {
+        assert!(step(600.0, served), "rejects while servers start to run again");
+    }
+    for _ in 0..10 {
+        assert!(step(200.0, 1000.0), "rejects while the backlog drains");
+    }
+    assert!(!step(200.0, 600.0), "does not reject beyond the capacity that is left");
+}
+
 fn level(priority: u8, hash: u64, is_returner: bool, is_excess: bool) -> Level {
     Level::new(&Arrival { priority, hash, is_returner, is_excess })
 }
