Keep the connection of a caller that reads slowly

What callers saw: a caller with a receive buffer of 4,096 bytes that read 1 kB a second of its answer was reset after 8,180 bytes, although there was memory for the answer.

Cause: an answer counted as unread after answer_wait_ms without progress, whatever the caller had taken before. A receiver announces room only when a large part of its buffer is free, so the caller showed nothing while it read.

Evidence: the test fails at the bytes of one full buffer, after one period of silence. Ruled out: the bound on memory (below the mark, nothing closed for it) and the caller's deadline.

Change: the time without progress is answer_wait_ms plus what reading the largest burst takes at 1,000 bytes a second, at most 65 s more. The burst is at least the caller's buffer. Above the mark nothing changes.

--- a/crates/core/src/bytes.rs
+++ b/crates/core/src/bytes.rs
@@ -10,7 +10,7 @@
 //! the holder that has made no progress for longest is closed. Nothing is reserved by announcement: a caller that
 //! announces much and sends nothing takes no room from others.
 
-use std::{collections::BTreeSet, ops};
+use std::{collections::BTreeSet, fmt, num, ops, str};
 
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs};
@@ -35,6 +35,11 @@
 const UNCOUNTED_FRACTION: f64 = 0.25;
 /// Fraction of the mark below which it counts as no longer exceeded, so that the log does not show each byte around it.
 const RELIEF_FRACTION: f64 = 0.95;
+/// Rate from which on a caller counts as reading.
+pub const MIN_READ_RATE: Rate = Rate(1000);
+/// Upper bound of the time in which a caller may read without showing it: the usual receive buffer of 64 kB at
+/// [`MIN_READ_RATE`]. A caller that stops after it took megabytes keeps its connection no longer than that.
+const MAX_UNSEEN_TIME: clock::Millis = clock::Millis(65_000);
 /// Minimum time after which a refused caller may return: what stalled then has lost its place by then.
 const MIN_RETRY_AFTER: clock::Millis = STALL_TIME[0];
 /// Time over which returning callers are spread just above the mark and at the limit.
@@ -75,6 +80,57 @@
     }
 }
 
+/// A number of bytes per second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rate(pub u64);
+
+impl Rate {
+    /// The time that `size` takes.
+    pub fn time_for(self, size: Size) -> clock::Millis {
+        clock::Millis(size.0.saturating_mul(1000) / self.0.max(1))
+    }
+}
+
+impl str::FromStr for Rate {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// How long an answer may make no progress while its caller reads at [`MIN_READ_RATE`].
+///
+/// TCP announces room only when a large part of the receive buffer is free, so a slow reader shows progress in steps. The
+/// longest step is as long as it takes to read the whole buffer, and no burst of the answer without a wait is smaller
+/// than the buffer that was empty before it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Bytes written since the last wait.
+    burst: Size,
+    largest_burst: Size,
+}
+
+impl Progress {
+    /// Records that the connection took `size` bytes, after a wait or at once.
+    pub fn record(&mut self, size: Size, has_waited: bool) {
+        self.burst = if has_waited { size } else { self.burst + size };
+        self.largest_burst = self.largest_burst.max(self.burst);
+    }
+
+    /// The time without progress after which the caller has stopped reading, where `wait` is the one for a caller that
+    /// has no receive buffer.
+    pub fn stall_time(self, wait: clock::Millis) -> clock::Millis {
+        wait + MIN_READ_RATE.time_for(self.largest_burst).min(MAX_UNSEEN_TIME)
+    }
+}
+
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/node/src/lane/output.rs
+++ b/crates/node/src/lane/output.rs
@@ -14,7 +14,7 @@
     time as std_time,
 };
 
-use shallothub_core::clock;
+use shallothub_core::{bytes, clock};
 use tokio::{sync::Notify, time::sleep};
 use xitca_io::{
     io::{AsyncBufWrite, BoundedBuf},
@@ -40,6 +40,7 @@
     connection: Held,
     /// The answer that waits for the caller.
     answer: RefCell<Option<Held>>,
+    progress: Cell<bytes::Progress>,
     /// Size of the library's buffer for answers.
     buffer: Cell<Size>,
     read_ahead: Cell<Size>,
@@ -51,7 +52,13 @@
         let connection = Held::new(shell.shared.memory.as_ref(), Kind::Connections, CONNECTION_SIZE, shell.now())?;
         // Without the option the kernel holds more of an unread answer, and the connection is closed later.
         socket2::SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES).ok();
-        Some(Self { connection, answer: RefCell::default(), buffer: Cell::default(), read_ahead: Cell::default() })
+        Some(Self {
+            connection,
+            answer: RefCell::default(),
+            progress: Cell::default(),
+            buffer: Cell::default(),
+            read_ahead: Cell::default(),
+        })
     }
 
     /// Sets the size of what was read ahead.
@@ -73,8 +80,8 @@
         self.connection.resize(CONNECTION_SIZE + buffer + self.read_ahead.get(), now);
     }
 
-    /// Writes a part of `buffer`. Fails if the caller takes nothing of it for the time that the settings allow, or if
-    /// the answer is closed to free memory.
+    /// Writes a part of `buffer`. Fails if the caller takes nothing of it for longer than one that reads slowly, or if the
+    /// answer is closed to free memory.
     pub(super) async fn write<B: BoundedBuf>(
         &self,
         shell: &Shell,
@@ -89,11 +96,12 @@
         }
         let mut write = pin!(stream.write(buffer));
         let first = poll_fn(|context| Poll::Ready(write.as_mut().poll(context))).await;
+        let has_waited = first.is_pending();
         let (result, buffer) = match first {
             Poll::Ready(result) => result,
             Poll::Pending => {
                 let closer = self.begin_wait(shell);
-                let wait = shell.shared.settings.answer_wait_ms;
+                let wait = self.progress.get().stall_time(shell.shared.settings.answer_wait_ms);
                 tokio::select! {
                     biased;
                     result = &mut write => result,
@@ -109,6 +117,11 @@
                 }
             }
         };
+        if let Ok(written) = &result {
+            let mut progress = self.progress.get();
+            progress.record(Size::of(*written), has_waited);
+            self.progress.set(progress);
+        }
         if result.as_ref().is_ok_and(|written| *written < length) {
             if let Some(answer) = &*self.answer.borrow() {
                 answer.advance(self.buffer.get(), shell.now());
