Take only the silence of nearly all servers for an outage

Cause: the bound of 0.3 was that of an outage under a threshold that is already in force, where it only slows a cut.

--- a/crates/core/src/urgency.rs
+++ b/crates/core/src/urgency.rs
@@ -51,6 +51,9 @@
 const ROOM_FRACTION: f64 = 0.5;
 /// Number of doublings of the growth while there is no wait, and fewer in proportion to it.
 const MAX_DOUBLINGS: f64 = 3.0;
+/// Fraction of the most work that servers recently ran below which nearly all of them are silent. While a part of them
+/// runs, a threshold spares the urgent requests.
+const SILENCE_FRACTION: f64 = 0.15;
 /// Number of intervals after an outage in which no rejection begins. The waits that end then began in the outage.
 const RECOVERY_INTERVALS: u32 = 10;
 /// Iterations of the search for a threshold, which is then exact to less than a thousandth of a bucket.
@@ -253,7 +256,7 @@
     /// Whether the servers run so little that they are out of order. Rejections do not help them, and would keep callers
     /// out once they run again.
     fn is_outage(&self) -> bool {
-        self.served < self.capacity * OUTAGE_FRACTION
+        self.served < self.capacity * SILENCE_FRACTION
     }
 
     /// Whether servers run at least what new callers ask for, so that a backlog drains without rejections.
