Pace attempts at servers whose queue is excessive

Cause: a host's limit for a server is at least one, and 19 hosts with one request each fill a server of 2 slots and 12 places. In the server's queue requests wait in order of arrival, and those that it refuses take tokens for repeats.

Evidence: 45,060 repeats were denied for lack of tokens, and 26,055 connections opened, against 4,670 and 15,448 with six gathering hosts.

Change: a queue of more than three requests for each slot may bring the limit below one, down to 0.3; the host then pauses between attempts in proportion, and requests wait here by urgency.

--- a/crates/core/src/traffic/server.rs
+++ b/crates/core/src/traffic/server.rs
@@ -18,8 +18,17 @@
 /// Factor by which the expected latency grows if every attempt fails: the attempt is lost, another one needs a
 /// budget token, and most of the caller's timeout may be used up.
 const FAILURE_PENALTY: f64 = 8.0;
-/// Initial concurrency limit of a cold server, also the lower bound; grows by one with each success.
+/// Initial concurrency limit of a cold server; grows by one with each success. Also the lower bound, except for servers
+/// with an excessive queue.
 const COLD_LIMIT: f64 = 1.0;
+/// Lower bound of the concurrency limit of a server with an excessive queue. A limit below one is the fraction of time
+/// with an attempt in flight: one attempt from each of two dozen hosts is more than a server with a few slots accepts.
+const MIN_LIMIT: f64 = 0.3;
+/// Length of a queue, in requests for each slot, above which it is excessive. Fewer hosts than that cannot fill it with one
+/// attempt each.
+const EXCESSIVE_QUEUE: u32 = 3;
+/// Factor on a limit below one with each answer from a server whose queue is short.
+const RECOVERY_FACTOR: f64 = 1.25;
 /// Factor on the concurrency limit after a shed.
 const SHED_FACTOR: f64 = 0.7;
 /// Factor on the concurrency limit when the server's queue is long.
@@ -83,6 +92,10 @@
     limit: f64,
     /// When the limit was last cut because of the server's queue.
     decreased_at: clock::Millis,
+    /// Earliest start of the next attempt while the limit is below one.
+    paced_until: clock::Millis,
+    /// Length of the server's queue in its last answer.
+    queue: u32,
     /// Moving average of the reply time, relative to the class's median.
     slowness: f64,
     /// Moving average of attempts that were refused, failed or lost: 0 for none, 1 for all.
@@ -121,6 +134,8 @@
             last_active: clock::Millis::ZERO,
             limit: COLD_LIMIT,
             decreased_at: clock::Millis::ZERO,
+            paced_until: clock::Millis::ZERO,
+            queue: 0,
             slowness: BASELINE_SLOWNESS,
             failure_rate: 0.0,
             sampled_at: clock::Millis::ZERO,
@@ -152,12 +167,18 @@
     }
 
     pub(crate) fn has_capacity(&self, now: clock::Millis) -> bool {
-        self.ready_at(now) <= now && self.inflight < self.share.min(self.limit as u32)
+        self.ready_at(now) <= now && self.inflight < self.share.min(self.concurrency())
     }
 
-    /// When the server's pause after a shed and its warm-up allow the next attempt.
+    /// Maximum number of attempts in flight by the limit.
+    fn concurrency(&self) -> u32 {
+        self.limit.max(COLD_LIMIT) as u32
+    }
+
+    /// When the server's pause after a shed, its pacing and its warm-up allow the next attempt.
     pub(crate) fn ready_at(&self, now: clock::Millis) -> clock::Millis {
-        self.shed_until.max(self.warm_up.next_at(now).unwrap_or(clock::Millis::MAX))
+        let warm_up = self.warm_up.next_at(now).unwrap_or(clock::Millis::MAX);
+        self.shed_until.max(self.paced_until).max(warm_up)
     }
 
     /// Whether this host may not send it any requests while it warms up.
@@ -236,7 +257,7 @@
 
     /// Expected wait of a shard behind `ahead` others, where `median` is the median attempt time.
     pub(crate) fn expected_wait(&self, ahead: usize, median: clock::Millis) -> clock::Millis {
-        let rounds = (ahead + 1) as f64 / self.limit.min(f64::from(self.share)).max(1.0);
+        let rounds = (ahead + 1) as f64 / self.limit.min(f64::from(self.share)).max(MIN_LIMIT);
         median.scale(rounds * self.slowness.max(BASELINE_SLOWNESS))
     }
 
@@ -319,19 +340,32 @@
     /// requests in its queue wait behind those of all hosts, requests queued here are sent by priority.
     fn adapt_limit(&mut self, now: clock::Millis, median: clock::Millis, queue: Option<u32>) {
         let queue = queue.unwrap_or_default();
-        if queue == 0 {
-            self.grow_limit();
-            return;
-        }
         let is_long = queue > self.slots;
-        if is_long && now.since(self.decreased_at) >= median {
+        self.queue = queue;
+        if queue == 0 || self.limit < COLD_LIMIT && queue <= self.slots {
+            self.grow_limit();
+        } else if is_long && now.since(self.decreased_at) >= median {
             self.decreased_at = now;
-            self.limit = (self.limit * QUEUE_FACTOR).max(COLD_LIMIT);
+            self.cut_limit(QUEUE_FACTOR);
         }
+        if self.limit < COLD_LIMIT {
+            self.paced_until = now + median.scale(1.0 / self.limit - 1.0);
+        }
+    }
+
+    /// Cuts the limit, to less than one only if the server's queue is excessive.
+    fn cut_limit(&mut self, factor: f64) {
+        let is_excessive = self.queue > self.slots * EXCESSIVE_QUEUE;
+        let least = if is_excessive { MIN_LIMIT } else { COLD_LIMIT };
+        self.limit = (self.limit * factor).max(least.min(self.limit));
     }
 
     /// Slow start doubles a cold server's limit each round; later it grows by one a round.
     fn grow_limit(&mut self) {
+        if self.limit < COLD_LIMIT {
+            self.limit = (self.limit * RECOVERY_FACTOR).min(COLD_LIMIT);
+            return;
+        }
         let step = if self.answers < 16 { 1.0 } else { 1.0 / self.limit };
         self.limit = (self.limit + step).min(f64::from(self.share.max(1)));
     }
@@ -339,7 +373,7 @@
     pub(crate) fn on_shed(&mut self, now: clock::Millis, retry_after: Option<clock::Millis>) {
         self.add_sample(now, None, 1.0);
         self.samples.record_failure(now);
-        self.limit = (self.limit * SHED_FACTOR).max(COLD_LIMIT);
+        self.cut_limit(SHED_FACTOR);
         let pause = retry_after.unwrap_or(DEFAULT_SHED_PAUSE).min(MAX_SHED_PAUSE);
         self.shed_until = self.shed_until.max(now + pause);
     }
@@ -358,7 +392,7 @@
         self.add_sample(now, None, 1.0);
         self.samples.record_failure(now);
         self.consecutive_failures += 1;
-        self.limit = (self.limit * SHED_FACTOR).max(COLD_LIMIT);
+        self.cut_limit(SHED_FACTOR);
         policy.ejection && self.consecutive_failures >= policy.ejection_failures
     }
 
