--- a/crates/core/src/bytes.rs
+++ b/crates/core/src/bytes.rs
@@ -107,12 +107,12 @@
 
 /// How long an answer may make no progress while its caller reads at [`MIN_READ_RATE`].
 ///
-/// TCP announces room only when a large part of the receive buffer is free, so a slow reader shows progress in steps. The
-/// longest step is as long as it takes to read the whole buffer, and no burst of the answer without a wait is smaller
-/// than the buffer that was empty before it.
+/// TCP announces room only when a large part of the receive buffer is free, so a slow reader shows progress in steps, and
+/// a step lasts at most as long as it takes to read the whole buffer. An answer begins with an empty buffer: what the
+/// connection takes of it without a wait is at least the size of the buffer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
-    /// Bytes written since the last wait.
+    /// Bytes that the connection took since the last wait.
     burst: Size,
     largest_burst: Size,
 }
--- a/crates/core/tests/urgent_load.rs
+++ b/crates/core/tests/urgent_load.rs
@@ -315,3 +315,47 @@
     let useful = useful_work(&outcome, &plan);
     assert!(urgent >= 0.95 && useful >= 0.9, "urgent in time {urgent:.3}, useful work {useful:.3}");
 }
+
+/// Urgent requests in time, and useful work, with 19 of 24 hosts gathering.
+fn while_most_hosts_gather(seed: u64) -> (f64, f64) {
+    let plan = Plan { hosts: 24, owners: 19, ..plan(1.5) };
+    let outcome = run(&plan, seed);
+    (in_time(&outcome, &plan, ALERT, FROM..UNTIL), useful_work(&outcome, &plan))
+}
+
+/// Guards against a bound that holds with one seed only.
+#[rstest]
+fn most_hosts_gather_with_other_seeds(#[values(2, 3, 4, 6)] seed: u64) {
+    let (urgent, useful) = while_most_hosts_gather(seed);
+    assert!(urgent >= 0.95 && useful >= 0.9, "urgent in time {urgent:.3}, useful work {useful:.3}");
+}
+
+/// Guards against the loss of urgent requests in the first second of an overload, which this seed has most of.
+#[test]
+fn urgent_requests_survive_the_onset_of_an_overload() {
+    let (urgent, useful) = while_most_hosts_gather(5);
+    assert!(urgent >= 0.95 && useful >= 0.9, "urgent in time {urgent:.3}, useful work {useful:.3}");
+}
+
+/// Fraction of the tries that are admitted from 2 s after an outage of all leafs on.
+fn admitted_after_an_outage(seed: u64) -> f64 {
+    let mut plan = Plan { retries: 4, ..plan(0.8) };
+    for leaf in 0..plan.shards * plan.replicas {
+        plan.injections.push(Injection { leaf, from: 8000, until: 10_000, fault: LeafFault::Unresponsive });
+    }
+    admitted(&run(&plan, seed), &plan, 12_000..UNTIL)
+}
+
+/// Guards against a bound that holds with one seed only.
+#[rstest]
+fn an_outage_ends_in_time_with_other_seeds(#[values(2, 4, 5, 6)] seed: u64) {
+    let mean = admitted_after_an_outage(seed);
+    assert!(mean >= 0.99, "admitted {mean:.3} from 2 s after the outage on");
+}
+
+/// Guards against a backlog of an outage that some hosts take for an overload.
+#[test]
+fn no_host_rejects_because_of_a_backlog() {
+    let mean = admitted_after_an_outage(1);
+    assert!(mean >= 0.99, "admitted {mean:.3} from 2 s after the outage on");
+}
--- a/crates/node/src/lane/output.rs
+++ b/crates/node/src/lane/output.rs
@@ -40,6 +40,7 @@
     connection: Held,
     /// The answer that waits for the caller.
     answer: RefCell<Option<Held>>,
+    /// Progress of the current answer.
     progress: Cell<bytes::Progress>,
     /// Size of the library's buffer for answers.
     buffer: Cell<Size>,
@@ -117,17 +118,19 @@
                 }
             }
         };
-        if let Ok(written) = &result {
+        let partial = result.as_ref().ok().filter(|written| **written < length);
+        if let Some(written) = partial {
             let mut progress = self.progress.get();
             progress.record(Size::of(*written), has_waited);
             self.progress.set(progress);
-        }
-        if result.as_ref().is_ok_and(|written| *written < length) {
             if let Some(answer) = &*self.answer.borrow() {
                 answer.advance(self.buffer.get(), shell.now());
             }
-        } else if self.answer.take().is_some() {
-            self.count_connection(shell.now());
+        } else {
+            self.progress.take();
+            if self.answer.take().is_some() {
+                self.count_connection(shell.now());
+            }
         }
         (result, buffer)
     }
