--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -194,18 +194,15 @@
         let keys: Vec<&String> = state.items.keys().filter(fits).collect();
         let items: Vec<String> = keys.iter().take(PAGE_ITEMS).map(|key| item(key, &state.items[*key])).collect();
         let is_truncated = keys.len() > PAGE_ITEMS;
-        format!(
-            "{{\"items\":[{}],\"truncated\":{is_truncated},\"currentRev\":{}}}",
-            items.join(","),
-            state.revision
-        )
+        format!("{{\"items\":[{}],\"truncated\":{is_truncated},\"currentRev\":{}}}", items.join(","), state.revision)
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            let is_new = |(revision, key, _): &&(u64, String, Option<String>)| *revision > after && key.starts_with(prefix);
+            let is_new =
+                |(revision, key, _): &&(u64, String, Option<String>)| *revision > after && key.starts_with(prefix);
             let events: Vec<String> = state
                 .log
                 .iter()
@@ -425,7 +422,8 @@
 
     fn reject(&self, status: u16, request: &str, connection: usize, why: &str) -> Vec<u8> {
         self.ledger.rejections.fetch_add(1, Ordering::SeqCst);
-        self.ledger.add(request, format!("{} conn {connection}: rejects it, {status} with Not-Executed ({why})", self.id));
+        self.ledger
+            .add(request, format!("{} conn {connection}: rejects it, {status} with Not-Executed ({why})", self.id));
         format!(
             "HTTP/1.1 {status} .\r\nRequest-Id: {request}\r\nNot-Executed: 1\r\nServer-Load: {}\r\nContent-Length: 0\r\n\r\n",
             self.load()
--- a/review/standins/late_answer.rs
+++ b/review/standins/late_answer.rs
@@ -47,8 +47,7 @@
     let record = Record::new();
     let ledger = Ledger::new(&record);
     let store = Store::start();
-    let extra =
-        Arc::new(Extra { is_on: AtomicBool::new(false), one_in: ONE_IN, sent: AtomicU64::new(0) });
+    let extra = Arc::new(Extra { is_on: AtomicBool::new(false), one_in: ONE_IN, sent: AtomicU64::new(0) });
     let shed = Arc::new(Shed { is_on: AtomicBool::new(false), percent: SHED_PERCENT });
     // `SECOND_ANSWERS=0` leaves out these alone.
     let with_second_answers = is_troubled && std::env::var("SECOND_ANSWERS").map_or(true, |value| value != "0");
@@ -88,7 +87,8 @@
     };
     let places: Vec<[SocketAddr; 5]> = NODES.iter().map(|_| addresses()).collect();
     let seeds: Vec<SocketAddr> = places.iter().take(3).map(|place| place[2]).collect();
-    let start = |(index, (name, zone)): (usize, &(&str, &str))| deployment.start_node(name, zone, places[index], &seeds);
+    let start =
+        |(index, (name, zone)): (usize, &(&str, &str))| deployment.start_node(name, zone, places[index], &seeds);
     let nodes: Vec<Node> = NODES.iter().enumerate().map(start).collect();
     if !nodes.iter().all(wait_ready) {
         eprintln!("a node did not become ready");
--- a/review/standins/slow_reader.rs
+++ b/review/standins/slow_reader.rs
@@ -101,8 +101,7 @@
             let id = format!("{:016x}", 0x9c41_d07b_0000_0000u64 + index as u64);
             let sent_ms = record.now();
             record.add(format!("{name} sends request {id} to {front}"));
-            let mut end =
-                End { name, bytes: 0, expected: None, status: None, sent_ms, ended_ms: 0, error: None };
+            let mut end = End { name, bytes: 0, expected: None, status: None, sent_ms, ended_ms: 0, error: None };
             if let Err(error) = fetch(front, &id, is_slow, &mut end) {
                 end.error = Some(error.to_string());
             }
@@ -141,9 +140,8 @@
 fn fetch(front: SocketAddr, id: &str, is_slow: bool, end: &mut End) -> io::Result<()> {
     let mut stream = connect(front, if is_slow { Some(RECEIVE_BUFFER) } else { None })?;
     stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)))?;
-    let head = format!(
-        "GET /timi402/2f HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\r\n"
-    );
+    let head =
+        format!("GET /timi402/2f HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\r\n");
     stream.write_all(head.as_bytes())?;
     let mut reader = BufReader::with_capacity(BYTES_PER_READ, stream);
     let head = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
@@ -211,7 +209,8 @@
         let is_within = end.ended_ms < end.sent_ms + DEADLINE_MS;
         let is_broken = !end.is_complete() && is_within;
         broken += u32::from(is_broken);
-        let after = sigterm_ms.map_or(String::new(), |at| format!(", {} ms after SIGTERM", end.ended_ms as i64 - at as i64));
+        let after =
+            sigterm_ms.map_or(String::new(), |at| format!(", {} ms after SIGTERM", end.ended_ms as i64 - at as i64));
         record.add(format!(
             "{}{}: status {:?}, {} of {:?} bytes, sent at {} ms, ended at {} ms{after}{}",
             if is_broken { "BROKEN: " } else { "" },
