Keep two attempts of a request off one connection

Cause: a reply is matched by the caller's Request-Id, which all attempts of a request share. After a rejection the connection went back to the pool and the next attempt of the same request took it, so a late second copy of the rejection passed for the reply to that attempt.

Change: a connection remembers the requests that ended on it without an answer until their deadlines, and the pool passes it over for another attempt of these. An idle connection that cannot be used makes room for a new one within the share. On a connection that carried the request once, a reply with its id can only belong to that attempt. shallothub_reuses_avoided counts passed-over connections.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -66,7 +66,12 @@
 impl Digest {
     /// Computes the digest of `text`.
     pub fn of(text: &str) -> Self {
-        Self(xxh3::xxh3_64(text.as_bytes()))
+        Self::of_bytes(text.as_bytes())
+    }
+
+    /// Computes the digest of `bytes`.
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        Self(xxh3::xxh3_64(bytes))
     }
 }
 
--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -42,10 +42,11 @@
     let origin =
         protocol::Origin { host: &settings.name, start: shell.shared.clock.incarnation(), lane: shell.index as u32 };
     let name = leafs.attempt_name(origin, dispatch.attempt);
+    let carried = leafs.shared_reply_id(request).map(pool::Carried::new);
     let mut is_new = false;
     let mut unsent: Option<http::Request<Full<Bytes>>> = None;
     loop {
-        let idle = shell.state.borrow_mut().pools.take(dispatch, shell.now());
+        let idle = shell.state.borrow_mut().pools.take(dispatch, carried, shell.now());
         let connection = match idle {
             Some(connection) => Some(connection),
             None => {
@@ -66,7 +67,7 @@
             return without_payload(event::Reply::NotSent);
         };
         match connection.sender.try_send_request(message).await {
-            Ok(response) => return receive(shell, dispatch, &name, request, connection, response).await,
+            Ok(response) => return receive(shell, dispatch, &name, request, carried, connection, response).await,
             Err(mut error) => {
                 // The server closed the idle connection as it was taken from the pool: the request is
                 // returned unsent and goes to the next connection.
@@ -151,7 +152,8 @@
     dispatch: &event::Dispatch,
     name: &CompactString,
     request: &protocol::Request,
-    connection: pool::Connection,
+    carried: Option<pool::Carried>,
+    mut connection: pool::Connection,
     response: http::Response<hyper::body::Incoming>,
 ) -> protocol::Reply {
     let (head, body) = response.into_parts();
@@ -163,6 +165,11 @@
         Some(_) => relay::reply(&head, body.to_bytes()),
         None => shell.shared.interface.backend.reply(dispatch, name, request, &head, body.to_bytes()),
     };
+    if let Some(carried) = carried
+        && !matches!(reply.end, event::Reply::Answered(_))
+    {
+        connection.record_unanswered(carried, dispatch.deadline, shell.now());
+    }
     if reply.is_matched {
         return_to_pool(shell, dispatch, connection, reply.keep_alive).await;
     }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -142,7 +142,8 @@
     fn new(shared: Arc<shared::Shared>, index: usize) -> Rc<Self> {
         let lane = traffic::Lane { index: index as u32, count: shared.lanes.len() as u32 };
         let seed = catalog::Digest::of(&shared.settings.name).0 ^ shared.clock.incarnation() ^ index as u64;
-        let pools = pool::Pools::new(shared.settings.descriptors, shared.lanes.len());
+        let pools =
+            pool::Pools::new(shared.settings.descriptors, shared.lanes.len(), shared.metrics.reuses_avoided.clone());
         let core = traffic::Core::new(shared.settings.traffic.clone(), lane, seed, shared.clock.now());
         Rc::new(Self {
             shared,
--- a/crates/node/src/lane/pool.rs
+++ b/crates/node/src/lane/pool.rs
@@ -4,6 +4,10 @@
 //! lane's share. A connection is opened only when none is idle, so idle and busy ones together stay
 //! within the share. hyper implements the protocol on each connection but not the pooling, because
 //! existing pools do not limit open connections and retry on their own.
+//!
+//! A server may send a reply a second time, where the reply to a later request is expected. Attempts of one
+//! request may share the id by which replies are matched, so the late copy of a rejection would pass for the
+//! reply to the next attempt. Therefore a connection never carries two attempts of the same request.
 
 use std::{cell::Cell, rc::Rc};
 
@@ -12,7 +16,8 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use indexmap::IndexMap;
-use shallothub_core::{clock, id, traffic::event};
+use prometheus::IntCounter;
+use shallothub_core::{catalog, clock, id, traffic::event};
 use tokio::task;
 
 /// Idle timeout of a server that does not report its own.
@@ -26,6 +31,40 @@
 /// requests, 361 of them failed, against 399 with 1000 ms.
 const MAX_IDLE_NON_IDEMPOTENT: clock::Millis = clock::Millis(200);
 
+/// Maximum number of unanswered requests that a connection remembers; with more, it is not reused.
+const MAX_UNANSWERED: usize = 64;
+
+/// A request that an attempt carried, by a hash of the id that all of its attempts share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Carried(u64);
+
+impl Carried {
+    /// The request with the id `reply_id`.
+    pub(crate) fn new(reply_id: &[u8]) -> Self {
+        Self(catalog::Digest::of_bytes(reply_id).0)
+    }
+}
+
+/// The requests of a connection that ended there without an answer, and may be attempted again.
+#[derive(Debug, Default)]
+struct Unanswered(Vec<(Carried, clock::Millis)>);
+
+impl Unanswered {
+    /// Adds a request that is not attempted again after `deadline`.
+    fn add(&mut self, request: Carried, deadline: clock::Millis, now: clock::Millis) {
+        self.0.retain(|(_, deadline)| *deadline > now);
+        self.0.push((request, deadline));
+    }
+
+    fn contains(&self, request: Carried) -> bool {
+        self.0.iter().any(|(other, _)| *other == request)
+    }
+
+    fn is_full(&self) -> bool {
+        self.0.len() >= MAX_UNANSWERED
+    }
+}
+
 /// A connection to a backend server. Dropping it closes it at once.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -38,6 +77,7 @@
     pub(crate) idle_since: clock::Millis,
     /// Time for which the server keeps it open while idle.
     pub(crate) idle_timeout: clock::Millis,
+    unanswered: Unanswered,
 }
 
 impl Connection {
@@ -48,7 +88,20 @@
         address: CompactString,
     ) -> Self {
         let idle_since = clock::Millis::ZERO;
-        Self { sender, driver, _permit: permit, address, idle_since, idle_timeout: DEFAULT_IDLE_TIMEOUT }
+        Self {
+            sender,
+            driver,
+            _permit: permit,
+            address,
+            idle_since,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            unanswered: Unanswered::default(),
+        }
+    }
+
+    /// Keeps later attempts of `request` off this connection until `deadline`, after which there are none.
+    pub(crate) fn record_unanswered(&mut self, request: Carried, deadline: clock::Millis, now: clock::Millis) {
+        self.unanswered.add(request, deadline, now);
     }
 
     fn is_usable(&self, now: clock::Millis, dispatch: &event::Dispatch) -> bool {
@@ -105,34 +158,52 @@
     /// The number of connections to all servers, and its limit.
     open_count: Rc<Cell<usize>>,
     limit: usize,
+    /// Idle connections that an attempt did not use because they had carried its request before.
+    reuses_avoided: IntCounter,
 }
 
 impl Pools {
     /// Creates the pools of one of `lanes` lanes in a process limited to `descriptors` file descriptors.
-    pub(crate) fn new(descriptors: u32, lanes: usize) -> Self {
+    pub(crate) fn new(descriptors: u32, lanes: usize, reuses_avoided: IntCounter) -> Self {
         let limit = (f64::from(descriptors) * DESCRIPTOR_FRACTION) as usize / lanes.max(1);
-        Self { pools: IndexMap::new(), open_count: Rc::default(), limit: limit.max(1) }
+        Self { pools: IndexMap::new(), open_count: Rc::default(), limit: limit.max(1), reuses_avoided }
     }
 
-    /// Takes the most recently used idle connection that is open, leads to the server's current address and
-    /// has not been idle too long for the request. Closes the unusable ones before it.
-    pub(crate) fn take(&mut self, dispatch: &event::Dispatch, now: clock::Millis) -> Option<Connection> {
+    /// Takes the most recently used idle connection that is open, leads to the server's current address, has not
+    /// been idle too long for the request and carried no other attempt of it. Closes the unusable ones before it.
+    pub(crate) fn take(
+        &mut self,
+        dispatch: &event::Dispatch,
+        request: Option<Carried>,
+        now: clock::Millis,
+    ) -> Option<Connection> {
         let pool = self.pools.get_mut(&dispatch.server)?;
-        while let Some(connection) = pool.idle.pop() {
-            if connection.is_usable(now, dispatch) {
-                return Some(connection);
+        for index in (0..pool.idle.len()).rev() {
+            let connection = &pool.idle[index];
+            if !connection.is_usable(now, dispatch) {
+                pool.idle.remove(index);
+                continue;
+            }
+            if request.is_some_and(|request| connection.unanswered.contains(request)) {
+                self.reuses_avoided.inc();
+                continue;
             }
+            return Some(pool.idle.remove(index));
         }
         None
     }
 
-    /// Counts a connection that is about to be opened; the permit must live as long as the connection.
-    /// `None` if it would exceed the share, which the core's limit on attempts rules out.
+    /// Counts a connection that is about to be opened; the permit must live as long as the connection. An idle
+    /// connection to the server that the attempt cannot use makes room for it. `None` if it would exceed the share,
+    /// which the core's limit on attempts rules out.
     pub(crate) fn acquire(&mut self, server: id::Server) -> Option<Permit> {
         if self.open_count.get() >= self.limit {
             self.close_longest_idle();
         }
         let pool = self.pools.entry(server).or_default();
+        if pool.open_count.get() >= pool.limit && !pool.idle.is_empty() {
+            pool.idle.remove(0);
+        }
         if pool.open_count.get() >= pool.limit {
             return None;
         }
@@ -148,10 +219,10 @@
         }
     }
 
-    /// Returns a connection to its pool, or closes it if the share has shrunk.
+    /// Returns a connection to its pool, or closes it if the share has shrunk or it remembers too many requests.
     pub(crate) fn put(&mut self, server: id::Server, connection: Connection) {
         let pool = self.pools.entry(server).or_default();
-        if pool.open_count.get() > pool.limit {
+        if pool.open_count.get() > pool.limit || connection.unanswered.is_full() {
             return;
         }
         pool.idle.push(connection);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -37,6 +37,8 @@
     pub peer_bytes: IntCounterVec,
     /// Connections opened to backend servers.
     pub connections: IntCounter,
+    /// Idle connections to backend servers that an attempt did not use, since they had carried its request before.
+    pub reuses_avoided: IntCounter,
     /// Requests relayed to another host and answered by it.
     pub relayed: IntCounter,
     /// Requests rejected before they reached the core, by code.
@@ -85,6 +87,10 @@
                 &["direction"],
             )?,
             connections: IntCounter::new("shallothub_connections", "Connections opened to backend servers")?,
+            reuses_avoided: IntCounter::new(
+                "shallothub_reuses_avoided",
+                "Idle connections that had carried an earlier attempt of the same request",
+            )?,
             relayed: IntCounter::new("shallothub_relayed", "Requests that another host gathered for this one")?,
             refusals: IntCounterVec::new(
                 Opts::new("shallothub_refusals", "Requests turned away before they reached the core"),
@@ -105,6 +111,7 @@
         metrics.registry.register(Box::new(metrics.urgency.clone()))?;
         metrics.registry.register(Box::new(metrics.control.clone()))?;
         metrics.registry.register(Box::new(metrics.connections.clone()))?;
+        metrics.registry.register(Box::new(metrics.reuses_avoided.clone()))?;
         metrics.registry.register(Box::new(metrics.refusals.clone()))?;
         metrics.registry.register(Box::new(metrics.relayed.clone()))?;
         metrics.registry.register(Box::new(metrics.held_bytes.clone()))?;
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -10,7 +10,7 @@
 };
 
 use compact_str::CompactString;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use shallothub_core::merge;
 use shallothub_platform::opposite;
 use tokio::{
@@ -36,6 +36,9 @@
     Failing,
     /// Refuses every request before running it, with status 503.
     Refusing,
+    /// Refuses a request that arrives for the first time. When it arrives again on the same connection, sends the
+    /// refusal a second time and runs the request.
+    RefusingTwice,
     /// Runs the request and never responds.
     Mute,
     /// Runs the request and closes the connection halfway through the body.
@@ -114,6 +117,8 @@
     served: atomic::AtomicU64,
     knobs: Mutex<Knobs>,
     ledger: Mutex<Ledger>,
+    /// Requests that a `RefusingTwice` replica refused.
+    refused: Mutex<IndexSet<CompactString>>,
     stopped: sync::Notify,
 }
 
@@ -168,6 +173,7 @@
             served: atomic::AtomicU64::new(0),
             knobs: Mutex::default(),
             ledger: Mutex::default(),
+            refused: Mutex::default(),
             stopped: sync::Notify::new(),
         });
         task::spawn(Arc::clone(&replica).accept(listener));
@@ -212,6 +218,7 @@
         stream.set_nodelay(true).ok()?;
         let mut buffer = Vec::new();
         let mut is_reused = false;
+        let mut refused_here: Option<CompactString> = None;
         loop {
             let incoming = read_head(&mut stream, &mut buffer).await?;
             if std::mem::replace(&mut is_reused, true) && lock(&self.knobs).behaviour == Behaviour::Forgetful {
@@ -227,6 +234,18 @@
             if behaviour != Behaviour::Early {
                 read_body(&mut stream, &mut buffer, incoming.content_length).await?;
             }
+            if behaviour == Behaviour::RefusingTwice {
+                let request = &incoming.headers.request;
+                if !lock(&self.refused).contains(request) {
+                    lock(&self.refused).insert(request.clone());
+                    refused_here = Some(request.clone());
+                    self.refuse(&mut stream, request, 503).await?;
+                    continue;
+                }
+                if refused_here.as_ref() == Some(request) {
+                    self.refuse(&mut stream, request, 503).await?;
+                }
+            }
             let is_kept_alive = self.answer(&mut stream, &incoming, behaviour).await?;
             if behaviour == Behaviour::Early {
                 read_body(&mut stream, &mut buffer, incoming.content_length).await?;
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -93,6 +93,10 @@
         leaf::attempt_name(origin.host, origin.start, origin.lane, attempt)
     }
 
+    fn shared_reply_id<'r>(&self, _request: &'r protocol::Request) -> Option<&'r [u8]> {
+        None
+    }
+
     fn request(
         &self,
         dispatch: &event::Dispatch,
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -188,6 +188,10 @@
     /// Returns the id of an attempt on the wire; empty if the protocol has none.
     fn attempt_name(&self, origin: Origin<'_>, attempt: id::Attempt) -> CompactString;
 
+    /// Returns the id by which the replies to all attempts of `request` are matched; `None` if each attempt has an id
+    /// of its own.
+    fn shared_reply_id<'r>(&self, request: &'r Request) -> Option<&'r [u8]>;
+
     /// Builds the request of an attempt, with `remaining` as its timeout; `None` if it cannot be encoded.
     fn request(
         &self,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -157,6 +157,31 @@
     }
 }
 
+/// Guards against a late second copy of a rejection that is taken for the reply to the next attempt of the same request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejection_that_arrives_twice_does_not_pass_for_the_reply_to_another_attempt() {
+    let mut deployment = start("refused-twice", 0).await;
+    // A second attempt goes to the same leaf.
+    deployment.routing.routes.iter_mut().for_each(|route| route.max_servers = 1);
+    deployment.registry.configure(&deployment.routing);
+    let node = deployment.start_node().expect("a node");
+    assert!(deployment.wait_ready(node).await);
+    for leaf in letters(&deployment) {
+        leaf.replica.set(|knobs| knobs.behaviour = replica::Behaviour::RefusingTwice);
+    }
+    let mut client = client(&deployment, 0);
+    let mut served = 0;
+    for round in 0..20 {
+        let name = format!("w{round}");
+        let outcome = client.send(Kind::Write, &name).await;
+        served += served_services(&outcome);
+        let count = runs(&deployment, &name);
+        assert!(count <= 1, "{name} ran {count} times: {outcome:?}");
+        assert!(count == 0 || outcome != Outcome::Status(503), "{name} ran and was answered 503");
+    }
+    assert!(served > 0, "no second attempt was sent");
+}
+
 /// Guards against leafs that keep working after the caller has disconnected.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_disconnect_cancels_its_attempts() {
