Match rejections on the product's own interface by attempt

What callers would see: a late second copy of a backend server's rejection, which had no id, was taken for the reply to whichever request came next on the connection, which was then answered as not run, or sent again, while it ran.

Change: responses without a body of the reply's form echo the attempt's id. Another attempt's id makes the outcome unknown. Without the echo a rejection counts as before, and the connection is closed, so that no copy of it can meet another request; servers that do not echo cost a connection for each rejection. The stand-in echoes.

--- a/crates/standin/src/leaf.rs
+++ b/crates/standin/src/leaf.rs
@@ -220,16 +220,16 @@
             || knobs.behaviour == Behaviour::Shed
             || params.epoch.is_some_and(|epoch| epoch != knobs.epoch)
         {
-            return Some(self.refuse());
+            return Some(self.refuse(&params));
         }
         let Ok(_slot) = self.slots.acquire().await else {
-            return Some(self.refuse());
+            return Some(self.refuse(&params));
         };
         if params.deadline_ms.is_some_and(|deadline| arrived.elapsed().as_millis() >= u128::from(deadline)) {
-            return Some(self.refuse());
+            return Some(self.refuse(&params));
         }
         if !self.record(&params) {
-            return Some(http_server::answer(409, "this key runs or ran"));
+            return Some(params.answer_without_reply(409, "this key runs or ran"));
         }
         let jitter = lock(&self.random).random_range(0..=knobs.jitter_ms);
         let latency = time::Duration::from_millis(knobs.latency_ms + jitter);
@@ -239,9 +239,9 @@
         self.reply(&params, &knobs).await
     }
 
-    fn refuse(&self) -> http::Response<http_server::Body> {
+    fn refuse(&self, params: &Params) -> http::Response<http_server::Body> {
         lock(&self.ledger).refused += 1;
-        let mut response = http_server::answer(429, "refused before it ran");
+        let mut response = params.answer_without_reply(429, "refused before it ran");
         response.headers_mut().insert(leaf::RETRY_AFTER, http::HeaderValue::from_static("20"));
         response
     }
@@ -274,7 +274,7 @@
                 Some(response)
             }
             Behaviour::Endless => Some(http::Response::new(BodyExt::boxed(Endless))),
-            Behaviour::Shed => Some(self.refuse()),
+            Behaviour::Shed => Some(self.refuse(params)),
         }
     }
 
@@ -342,4 +342,13 @@
             deadline_ms: number(leaf::DEADLINE),
         }
     }
+
+    /// A response that echoes the attempt's id in a header.
+    fn answer_without_reply(&self, status: u16, text: &'static str) -> http::Response<http_server::Body> {
+        let mut response = http_server::answer(status, text);
+        if let Ok(attempt) = http::HeaderValue::from_str(&self.attempt) {
+            response.headers_mut().insert(leaf::ATTEMPT, attempt);
+        }
+        response
+    }
 }
--- a/crates/wire/src/leaf.rs
+++ b/crates/wire/src/leaf.rs
@@ -4,7 +4,8 @@
 //! [`Reply`]; 429 or 503 if it refused *before* running (shedding, draining, deadline passed, other
 //! epoch), with an optional [`RETRY_AFTER`]; 409 if a request with this [`KEY`] is running or ran before,
 //! possibly through another host. With any other status it is unknown whether the request ran.
-//! Closing the connection cancels the request.
+//! Closing the connection cancels the request. Responses without a [`Reply`] echo [`ATTEMPT`]; the connection of one
+//! that does not is closed, and a response with another attempt's id does not count as a reply.
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,7 @@
 
 /// The path of search requests.
 pub const PATH: &str = "/search";
-/// Request header: the attempt id, which the reply echoes.
+/// Request header: the attempt id, which the reply echoes. Response header unless the body is a [`Reply`].
 pub const ATTEMPT: &str = "x-shallot-attempt";
 /// Request header: the shard to search.
 pub const SHARD: &str = "x-shallot-shard";
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -127,15 +127,22 @@
         head: &http::response::Parts,
         body: Bytes,
     ) -> protocol::Reply {
+        if head.status == StatusCode::OK {
+            return parse_reply(dispatch, name, &body);
+        }
+        let echo = head.headers.get(leaf::ATTEMPT);
+        if echo.is_some_and(|echo| echo != name) {
+            return protocol::Reply::lost(event::Loss::Mismatched);
+        }
         let end = match head.status {
-            StatusCode::OK => return parse_reply(dispatch, name, &body),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 event::Reply::Refused { retry_after: retry_after(&head.headers) }
             }
             StatusCode::CONFLICT => event::Reply::Duplicate,
             _ => event::Reply::Lost(event::Loss::Unusable),
         };
-        protocol::Reply { end, payload: None, is_matched: true, keep_alive: None }
+        // A second copy of a response without an id would pass for the reply to the next request.
+        protocol::Reply { end, payload: None, is_matched: echo.is_some(), keep_alive: None }
     }
 }
 
