Stay until callers have received their answers

Cause: draining waited for the count of requests in flight, which a request left before the first byte of its answer was written. Neither what the HTTP library had not written nor what the kernel had not sent counted.

Change: draining waits until no caller's connection is open, and a connection is closed only once the caller's kernel has acknowledged everything, the connection broke, or nothing was acknowledged for answer_wait_ms. The product's own interface gets the same wrapper around its connections.

--- a/crates/node/src/lane/accept.rs
+++ b/crates/node/src/lane/accept.rs
@@ -105,7 +105,7 @@
 
 /// Serves the node's endpoints and the product's own interface.
 async fn serve_endpoints(shell: Rc<Shell>, listener: net::TcpListener) {
-    let service = match endpoints::service().await {
+    let service = match endpoints::service(Rc::clone(&shell)).await {
         Ok(service) => Rc::new(service),
         Err(error) => {
             tracing::error!(detail = error, "failed to create the service for the node's endpoints");
--- a/crates/node/src/lane/endpoints.rs
+++ b/crates/node/src/lane/endpoints.rs
@@ -17,7 +17,7 @@
     route::{get, post},
 };
 
-use super::{Shell, ingress};
+use super::{Shell, inbound, ingress};
 use crate::shared;
 
 /// Timeout for the thread that handles a request to `/explain`.
@@ -38,7 +38,9 @@
 }
 
 /// The endpoints as a service for connections.
-pub(super) async fn service() -> Result<impl Service<(xitca_io::net::TcpStream, net::SocketAddr)>, &'static str> {
+pub(super) async fn service(
+    shell: Lane,
+) -> Result<impl Service<(xitca_io::net::TcpStream, net::SocketAddr)>, &'static str> {
     let app = App::new()
         .at("/query/{class}", post(fn_service(query)))
         .at("/healthz", get(fn_service(health)))
@@ -49,11 +51,26 @@
         .at("/explain/selector/{name}", get(fn_service(explain_selector)))
         .at("/explain/query/{*name}", get(fn_service(explain_query)))
         .with_async_state(async || LANE.with_borrow(Clone::clone).ok_or("no lane on this thread"))
+        .enclosed_fn(finish_request)
         .finish()
-        .enclosed(HttpServiceBuilder::h1());
+        .enclosed(HttpServiceBuilder::h1().with_tls(inbound::Acceptor(shell)));
     app.call(()).await.map_err(|_| "no lane on this thread")
 }
 
+/// Marks the end of each request on its connection; see [`inbound::Connection::finish_request`].
+async fn finish_request<S, E>(service: &S, ctx: Context<'_>) -> Result<WebResponse, E>
+where
+    S: for<'r> Service<Context<'r>, Response = WebResponse, Error = E>,
+{
+    let shell = Rc::clone(ctx.state());
+    let address = *ctx.req().body().socket_addr();
+    let result = service.call(ctx).await;
+    if let Some(connection) = shell.inbound_connection(address) {
+        connection.finish_request(result.as_ref().is_ok_and(ingress::is_last));
+    }
+    result
+}
+
 async fn query(ctx: Context<'_>) -> Result<WebResponse, Infallible> {
     let shell = Rc::clone(ctx.state());
     if shell.shared.interface.frontend.is_exclusive() {
--- a/crates/node/src/lane/inbound.rs
+++ b/crates/node/src/lane/inbound.rs
@@ -6,6 +6,9 @@
 //! that were idle for longer than the limit in force *now*; and it closes idle ones when the node
 //! is closing.
 //!
+//! A connection that is closed stays open until its caller has acknowledged all that was sent. What the kernel still
+//! holds is lost if a host is replaced, and a draining node exits once no connection is open.
+//!
 //! With a bound on memory, the wrapper also counts what a connection holds, and closes the connection of a caller that
 //! does not read its answer; see [`output`](super::output).
 
@@ -27,7 +30,7 @@
 use xitca_service::Service;
 
 use super::{Shell, output};
-use crate::{shared, time};
+use crate::{send_queue, shared, time};
 
 /// Bytes per read while the connection is idle: more than the head of most requests.
 const IDLE_READ_BYTES: usize = 4096;
@@ -44,6 +47,8 @@
 /// Minimum idle time before a connection is closed to free its descriptor. A caller that has just
 /// connected or received an answer may be about to send.
 const MIN_IDLE_TIME: clock::Millis = clock::Millis(1000);
+/// Interval at which a connection that is being closed checks for bytes that are not acknowledged.
+const FLUSH_POLL_INTERVAL: clock::Millis = clock::Millis(20);
 
 /// A wrapped inbound connection; see the module. Clones share its state.
 #[derive(Clone)]
@@ -58,6 +63,8 @@
     close: Notify,
     /// The bytes that the connection holds; `None` if no bound on memory is set.
     output: Option<output::Output>,
+    /// Counts the connection as open; dropped after the socket.
+    _open: shared::Guard,
 }
 
 struct State {
@@ -157,6 +164,35 @@
         }
     }
 
+    /// Waits until the caller has acknowledged all bytes, the connection broke, or the caller acknowledged none for the
+    /// time after which an unread answer is given up.
+    async fn flush(&self) {
+        let shell = &self.0.shell;
+        let socket = socket2::SockRef::from(&self.0.stream);
+        // An aborted connection drops its bytes when it is closed.
+        if socket.linger().is_ok_and(|linger| linger.is_some()) {
+            return;
+        }
+        let mut unsent = usize::MAX;
+        let mut progress_at = shell.now();
+        loop {
+            let left = send_queue::length(&self.0.stream).unwrap_or(0);
+            let is_broken = !matches!(socket.take_error(), Ok(None));
+            if left == 0 || is_broken {
+                return;
+            }
+            if left < unsent {
+                unsent = left;
+                progress_at = shell.now();
+            }
+            if shell.now().since(progress_at) >= shell.shared.settings.answer_wait_ms {
+                tracing::info!(unsent, caller = %self.0.address, "closed a connection whose caller does not read");
+                return;
+            }
+            sleep(time::duration(FLUSH_POLL_INTERVAL)).await;
+        }
+    }
+
     /// Time until the idle timeout in force; zero once it has passed.
     fn remaining_idle_time(&self) -> clock::Millis {
         let limit = self.0.shell.limits().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle);
@@ -200,6 +236,7 @@
     }
 
     async fn shutdown(self, direction: net::Shutdown) -> io::Result<()> {
+        self.flush().await;
         socket2::SockRef::from(&self.0.stream).shutdown(direction)
     }
 }
@@ -236,7 +273,8 @@
         };
         let output = output::Output::new(&shell, &stream);
         let state = RefCell::new(state);
-        let inner = Rc::new(Inner { stream, shell, address, state, close: Notify::new(), output });
+        let open = shell.shared.track_connection();
+        let inner = Rc::new(Inner { stream, shell, address, state, close: Notify::new(), output, _open: open });
         self.0.inbound.borrow_mut().insert(address, Rc::downgrade(&inner));
         Ok(Connection(inner))
     }
--- a/crates/node/src/lane/ingress.rs
+++ b/crates/node/src/lane/ingress.rs
@@ -56,12 +56,16 @@
     let incoming = Incoming { method: head.method, target: head.uri, headers: head.headers, body };
     let response = serve(shell, source, incoming, connection.as_ref(), Some(*ext.socket_addr())).await;
     if let Some(connection) = connection {
-        let is_last = response.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
-        connection.finish_request(is_last);
+        connection.finish_request(is_last(&response));
     }
     Ok(response)
 }
 
+/// Whether the connection is closed after `response`.
+pub(super) fn is_last(response: &Response<ResponseBody>) -> bool {
+    response.headers().get(header::CONNECTION).is_some_and(|value| value == "close")
+}
+
 /// A request whose body has not been read.
 pub(super) struct Incoming {
     pub(super) method: Method,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod metrics;
 mod reload;
 pub mod run;
+mod send_queue;
 pub mod shared;
 pub mod time;
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -2,7 +2,11 @@
 //!
 //! `Starting -> Ready -> Draining -> Stopped`. Starting: not ready, no view yet. Ready: the load
 //! balancer may send requests. Draining: not ready but still serving, first for the balancer's lag and
-//! then until the last request is answered; listeners close in between. Stopped: nothing in flight.
+//! then until the last answer has reached its caller; listeners close in between. Stopped: no connection is open.
+//!
+//! An answer counts as delivered once its caller's kernel has acknowledged it, not once the HTTP library has it: a
+//! caller that reads slowly takes seconds for bytes that the process would lose if it exited. Each connection stays
+//! open until then (see `lane::inbound`), so draining waits for open connections as well as for requests.
 
 use std::{marker::PhantomData, sync::Arc};
 
@@ -23,7 +27,7 @@
 /// The stage in which the load balancer may send requests.
 #[derive(Debug)]
 pub struct Ready;
-/// The stage after a stop was requested, until no request is in flight or the drain times out.
+/// The stage after a stop was requested, until all answers are delivered or the drain times out.
 #[derive(Debug)]
 pub struct Draining;
 /// The stage after draining; requests that exceeded the maximum drain time may still be in flight.
@@ -75,22 +79,27 @@
 }
 
 impl Node<Draining> {
-    /// Serves for the balancer's lag, closes the listeners, and waits until the node is idle or the drain times out.
+    /// Serves for the balancer's lag, closes the listeners, and waits until all answers are delivered or the drain
+    /// times out.
     pub async fn stop(self) -> Node<Stopped> {
         let settings = &self.shared.settings;
         sleep(time::duration(settings.balancer_lag_ms)).await;
         self.shared.set_phase(shared::Phase::Closing);
-        let mut waited = clock::Millis::ZERO;
+        let end = self.shared.clock.now() + settings.drain_most_ms;
         let mut idle = clock::Millis::ZERO;
-        while idle < IDLE_PERIOD && waited < settings.drain_most_ms {
+        while idle < IDLE_PERIOD && self.shared.clock.now() < end {
             sleep(time::duration(POLL_INTERVAL)).await;
-            waited = waited + POLL_INTERVAL;
-            idle = if self.shared.in_flight() == 0 { idle + POLL_INTERVAL } else { clock::Millis::ZERO };
+            idle = if self.is_idle() { idle + POLL_INTERVAL } else { clock::Millis::ZERO };
         }
-        let in_flight = self.shared.in_flight();
-        tracing::info!(host = %settings.name, in_flight, "stopped");
+        let (in_flight, connections) = (self.shared.in_flight(), self.shared.open_connections());
+        tracing::info!(host = %settings.name, in_flight, connections, "stopped");
         self.transition(shared::Phase::Stopped)
     }
+
+    /// Whether no request is in flight and no caller's connection is open.
+    fn is_idle(&self) -> bool {
+        self.shared.in_flight() == 0 && self.shared.open_connections() == 0
+    }
 }
 
 impl Node<Stopped> {
@@ -98,4 +107,9 @@
     pub fn unfinished(&self) -> u32 {
         self.shared.in_flight()
     }
+
+    /// Number of connections that were still open then, with answers that their callers had not received completely.
+    pub fn undelivered(&self) -> u32 {
+        self.shared.open_connections()
+    }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -138,9 +138,12 @@
         }
     };
     let stopped = draining.stop().await;
-    let unfinished = stopped.unfinished();
+    let (unfinished, undelivered) = (stopped.unfinished(), stopped.undelivered());
     if unfinished > 0 {
         tracing::error!(in_flight = unfinished, "requests were still in flight after the maximum drain time");
     }
+    if undelivered > unfinished {
+        tracing::warn!(connections = undelivered, "answers were not delivered completely in the maximum drain time");
+    }
     Ok(())
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -174,7 +174,8 @@
     /// Notified on each change of phase; wakes tasks that wait for connections or requests.
     pub(crate) phase_changed: Notify,
     phase: AtomicU8,
-    in_flight: AtomicU32,
+    in_flight: Arc<AtomicU32>,
+    open_connections: Arc<AtomicU32>,
 }
 
 impl Shared {
@@ -204,7 +205,8 @@
             control,
             phase_changed: Notify::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
-            in_flight: AtomicU32::new(0),
+            in_flight: Arc::default(),
+            open_connections: Arc::default(),
         }
     }
 
@@ -228,19 +230,35 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Number of open connections from callers and relaying hosts.
+    pub fn open_connections(&self) -> u32 {
+        self.open_connections.load(Ordering::SeqCst)
+    }
+
     /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn track_request(self: &Arc<Self>) -> Guard {
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        Guard(Arc::clone(self))
+    pub(crate) fn track_request(&self) -> Guard {
+        Guard::new(&self.in_flight)
+    }
+
+    /// Counts a connection as open until the guard is dropped, which must not be before its socket is closed.
+    pub(crate) fn track_connection(&self) -> Guard {
+        Guard::new(&self.open_connections)
     }
 }
 
-/// Counts one request as in flight while it exists.
+/// Counts one request or connection while it exists.
 #[derive(Debug)]
-pub(crate) struct Guard(Arc<Shared>);
+pub(crate) struct Guard(Arc<AtomicU32>);
+
+impl Guard {
+    fn new(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(count))
+    }
+}
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -88,7 +88,8 @@
     /// Time to keep serving after SIGTERM until the load balancer notices, in ms. Default 3000.
     #[serde(default = "balancer_lag")]
     pub balancer_lag_ms: clock::Millis,
-    /// Timeout for finishing requests in flight after that, in ms. Default 10000.
+    /// Timeout for finishing requests in flight and delivering their answers after that, in ms. Both times together should
+    /// end shortly before the process is killed. Default 10000.
     #[serde(default = "drain_most")]
     pub drain_most_ms: clock::Millis,
     /// Parameters of the traffic core.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -16,6 +16,7 @@
 };
 use shallothub_standin::{registry, replica};
 
+mod delivery;
 mod memory;
 mod operators;
 mod store;
--- a/tests/platform/memory.rs
+++ b/tests/platform/memory.rs
@@ -41,7 +41,7 @@
 /// Minimum fraction of the other callers' requests that are served.
 const MIN_SERVED: f64 = 0.9;
 /// Receive buffer of callers that do not read, so that their answers stay with the node.
-const RECEIVE_BUFFER: u32 = 4096;
+pub(super) const RECEIVE_BUFFER: u32 = 4096;
 /// Bytes that a caller takes at most in a second if it reads slowly, but so that the node can see it. The kernel announces
 /// room when about half of the receive buffer is free, so a caller that reads 1 kB a second shows the node no progress
 /// for more than 5 s at a time.
@@ -50,7 +50,7 @@
 /// Held by each test: together, their callers would take the processors from each other and from other tests.
 static ALONE: Mutex<()> = Mutex::const_new(());
 
-async fn start(test: &str, settings: &str) -> Deployment {
+pub(super) async fn start(test: &str, settings: &str) -> Deployment {
     let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_shallothub"));
     let mut deployment = Deployment::start(program, &directory, SIZE).await.expect("stand-ins");
@@ -118,7 +118,7 @@
 }
 
 /// Sends a request for a large answer on a connection with a small receive buffer; `None` if it is refused.
-async fn begin_answer(address: net::SocketAddr, name: &str) -> Option<TcpStream> {
+pub(super) async fn begin_answer(address: net::SocketAddr, name: &str) -> Option<TcpStream> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER).ok()?;
     let mut stream = socket.connect(address).await.ok()?;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,9 +3,12 @@
 #[expect(dead_code, unreachable_pub, reason = "the other items are used by the bench")]
 mod support;
 
+use std::time::Duration;
+
 use rstest::rstest;
 use shallothub_standin::{leaf, platform};
 use support::{Fleet, SHARDS};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// The normal case: each node answers a sweep over every shard completely and from one snapshot.
 #[tokio::test]
@@ -81,6 +84,43 @@
     assert_eq!(fleet.wait_exit(node).await, Some(0));
 }
 
+/// Guards against a node that exits while its kernel still holds most of an answer for a caller that reads slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_waits_for_answers_that_are_read_slowly() {
+    const RECEIVE_BUFFER: u32 = 4096;
+    const HITS: u32 = 1500;
+    const MIN_ANSWER_BYTES: usize = 40_000;
+    let mut fleet = Fleet::start("stop-slow", 0).await;
+    fleet.balancer_lag_ms = 100;
+    fleet.start_node();
+    fleet.publish_config();
+    fleet.publish_hosts();
+    fleet.wait_ready(0).await;
+    fleet.leaves.iter().for_each(|(_, leaf)| leaf.set(|knobs| knobs.hits = HITS));
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).expect("a small buffer");
+    let mut stream = socket.connect(fleet.nodes[0].listen).await.expect("a connection");
+    stream.write_all(b"POST /query/sweep HTTP/1.1\r\nhost: test\r\ncontent-length: 2\r\n\r\n{}").await.expect("sent");
+    let mut buffer = vec![0; 2000];
+    let mut count = stream.read(&mut buffer).await.expect("the start of an answer");
+    fleet.signal(0, "-TERM");
+    let mut at_exit = None;
+    loop {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        if at_exit.is_none() && !fleet.is_running(0) {
+            at_exit = Some(count);
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => count += read,
+        }
+    }
+    assert!(count > MIN_ANSWER_BYTES, "cut off after {count} bytes");
+    let received = at_exit.unwrap_or(count) + 2 * RECEIVE_BUFFER as usize;
+    assert!(received >= count, "exited when the caller had received {received} of {count} bytes");
+    assert_eq!(fleet.wait_exit(0).await, Some(0));
+}
+
 /// Guards against exceeding the connection share of a host under many concurrent queries, hedges and cancelled
 /// attempts. A leaf that accepts 25 connections is published with eight hosts, so each may open three and none is
 /// refused. The host's own count is checked: a leaf may see one more while a close is in transit.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -268,6 +268,11 @@
         }
     }
 
+    /// Whether a node is still running.
+    pub fn is_running(&mut self, node: usize) -> bool {
+        matches!(self.nodes[node].child.try_wait(), Ok(None))
+    }
+
     /// Returns the process id of a node.
     pub fn pid(&self, node: usize) -> u32 {
         self.nodes[node].child.id()
