Bound the bytes that a server sends in one reply

What callers saw: with a backend server that sends bytes without end, the node read informational responses and zeros of a chunk size without a bound (24 MB on one connection, where the test stops), took 109 MB for chunks of one byte, and a search at other servers was answered 504.

Cause: only the bytes of a body were bounded. The HTTP library reads on through some other parts of a response, on the thread that serves all requests.

Change: bytes are counted at the socket. The loss has a reason of its own and no longer makes the request suspect of crashing servers. Bodies are copied into one buffer instead of being kept chunk by chunk. The client of the platform's store has the same bound and closes its connection when a call times out. A complete reply waits at most 5 ms until its connection can be reused.

--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -139,6 +139,8 @@
     Mismatched,
     /// The answer contains neither a result nor a statement that the attempt did not run.
     Unusable,
+    /// The server sent more bytes than a reply may have.
+    TooLarge,
     /// The server restarted, so its previous incarnation can no longer answer.
     Restarted,
 }
@@ -150,6 +152,7 @@
             Self::Broken => "the connection broke before the whole answer was here",
             Self::Mismatched => "the answer belongs to another request",
             Self::Unusable => "the answer is invalid",
+            Self::TooLarge => "the server sent more bytes than a reply may have",
             Self::Restarted => "the server restarted before it answered",
         }
     }
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -6,12 +6,14 @@
 use std::{io, net, time as std_time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use snafu::{ResultExt, Snafu};
 use tokio::{task, time::timeout};
 
+use crate::metered;
+
 /// Timeout for opening a connection. The kernel retries an attempt that began during a network partition only
 /// seconds after the partition heals.
 const CONNECT_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
@@ -56,7 +58,22 @@
 /// A client with at most one connection, which is opened on demand.
 #[derive(Debug, Default)]
 pub(crate) struct Client {
-    sender: Option<http1::SendRequest<Empty<Bytes>>>,
+    connection: Option<Connection>,
+}
+
+/// An open connection. Dropping it closes it at once, also in the middle of a response that timed out.
+#[derive(Debug)]
+struct Connection {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    driver: task::AbortHandle,
+    /// Bounds the bytes of each response.
+    budget: metered::Budget,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
 }
 
 impl Client {
@@ -68,10 +85,10 @@
         max_time: std_time::Duration,
         limit: usize,
     ) -> Result<Response, Error> {
-        let sender = self.sender.take();
-        match timeout(max_time, call(address, sender, path, limit)).await {
-            Ok(Ok((sender, response))) => {
-                self.sender = Some(sender);
+        let connection = self.connection.take();
+        match timeout(max_time, call(address, connection, path, limit)).await {
+            Ok(Ok((connection, response))) => {
+                self.connection = Some(connection);
                 Ok(response)
             }
             Ok(Err(error)) => Err(error),
@@ -82,33 +99,33 @@
 
 async fn call(
     address: net::SocketAddr,
-    cached: Option<http1::SendRequest<Empty<Bytes>>>,
+    cached: Option<Connection>,
     path: &str,
     limit: usize,
-) -> Result<(http1::SendRequest<Empty<Bytes>>, Response), Error> {
-    let mut sender = match reuse(cached).await {
-        Some(sender) => sender,
+) -> Result<(Connection, Response), Error> {
+    let mut connection = match reuse(cached).await {
+        Some(connection) => connection,
         None => connect(address, path).await?,
     };
     let request = http::Request::get(path).header(http::header::HOST, address.to_string());
     let request = request.body(Empty::<Bytes>::new()).context(UriSnafu { path })?;
-    let response = sender.send_request(request).await.context(CallSnafu { path })?;
+    connection.budget.reset();
+    let response = connection.sender.send_request(request).await.context(CallSnafu { path })?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, limit).collect().await;
-    let Ok(body) = body else {
+    let Ok(body) = connection.budget.collect(body, limit).await else {
         return BodySnafu { path, limit }.fail();
     };
-    Ok((sender, Response { status: head.status, headers: head.headers, body: body.to_bytes() }))
+    Ok((connection, Response { status: head.status, headers: head.headers, body }))
 }
 
 /// Returns the cached connection if it can still be used.
-async fn reuse(cached: Option<http1::SendRequest<Empty<Bytes>>>) -> Option<http1::SendRequest<Empty<Bytes>>> {
-    let mut sender = cached?;
-    sender.ready().await.ok()?;
-    Some(sender)
+async fn reuse(cached: Option<Connection>) -> Option<Connection> {
+    let mut connection = cached?;
+    connection.sender.ready().await.ok()?;
+    Some(connection)
 }
 
-async fn connect(address: net::SocketAddr, path: &str) -> Result<http1::SendRequest<Empty<Bytes>>, Error> {
+async fn connect(address: net::SocketAddr, path: &str) -> Result<Connection, Error> {
     let connecting = timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address));
     let Ok(stream) = connecting.await else {
         return TimeoutSnafu { path }.fail();
@@ -120,8 +137,9 @@
         .with_retries(KEEPALIVE_RETRIES);
     // Without keepalive a broken connection is detected later, by the call's timeout.
     socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive).ok();
+    let (stream, budget) = metered::Stream::new(stream);
     let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
     let (sender, connection) = handshake.context(CallSnafu { path })?;
-    task::spawn_local(connection);
-    Ok(sender)
+    let driver = task::spawn_local(connection).abort_handle();
+    Ok(Connection { sender, driver, budget })
 }
--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use shallothub_core::{clock, id, invariant, traffic::event};
@@ -16,12 +16,14 @@
 use tokio::{net, task, time::timeout};
 
 use super::{Shell, pool};
-use crate::memory;
+use crate::{memory, metered, time};
 
 /// Timeout for opening a connection. A running server accepts within milliseconds, an unreachable one
 /// never does; an attempt that has no connection yet provably did not run and may be retried elsewhere.
 const CONNECT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
+/// Maximum time for which a complete reply waits until its connection can be reused; then the connection is closed.
+const MAX_READY_WAIT: clock::Millis = clock::Millis(5);
 /// Maximum bytes of the library's read buffer for a connection, if memory is bounded. Unbounded, it grows to 417 kB on
 /// each connection that once read a large reply, and stays so.
 const MAX_READ_BUFFER: usize = 64 << 10;
@@ -42,11 +44,11 @@
     let origin =
         protocol::Origin { host: &settings.name, start: shell.shared.clock.incarnation(), lane: shell.index as u32 };
     let name = leafs.attempt_name(origin, dispatch.attempt);
-    let carried = leafs.shared_reply_id(request).map(pool::Carried::new);
+    let identity = leafs.shared_reply_id(request).map(pool::Identity::new);
     let mut is_new = false;
     let mut unsent: Option<http::Request<Full<Bytes>>> = None;
     loop {
-        let idle = shell.state.borrow_mut().pools.take(dispatch, carried, shell.now());
+        let idle = shell.state.borrow_mut().pools.take(dispatch, identity, shell.now());
         let connection = match idle {
             Some(connection) => Some(connection),
             None => {
@@ -66,13 +68,14 @@
         let Some(message) = message else {
             return without_payload(event::Reply::NotSent);
         };
+        connection.budget.reset();
         match connection.sender.try_send_request(message).await {
-            Ok(response) => return receive(shell, dispatch, &name, request, carried, connection, response).await,
+            Ok(response) => return receive(shell, dispatch, &name, request, identity, connection, response).await,
             Err(mut error) => {
                 // The server closed the idle connection as it was taken from the pool: the request is
                 // returned unsent and goes to the next connection.
                 let Some(message) = error.take_message() else {
-                    return protocol::Reply::lost(event::Loss::Broken);
+                    return protocol::Reply::lost(loss(&connection));
                 };
                 if is_new {
                     return without_payload(event::Reply::NotSent);
@@ -104,7 +107,11 @@
 
 async fn connect(shell: &Rc<Shell>, dispatch: &event::Dispatch) -> Option<pool::Connection> {
     // The permit counts the connection from before it is opened until it is dropped.
-    let permit = shell.state.borrow_mut().pools.acquire(dispatch.server);
+    let permit = {
+        let pools = &mut shell.state.borrow_mut().pools;
+        pools.make_room(dispatch.server);
+        pools.acquire(dispatch.server)
+    };
     let Some(permit) = permit else {
         let detail = format!("{}: a new connection would exceed the lane's share", dispatch.address);
         let name = invariant::Name::BoundedConnections;
@@ -135,6 +142,7 @@
     if held.is_some() {
         builder.max_buf_size(MAX_READ_BUFFER);
     }
+    let (stream, budget) = metered::Stream::new(stream);
     let Ok((sender, connection)) = builder.handshake(rt::TokioIo::new(stream)).await else {
         return Ok(None);
     };
@@ -144,7 +152,12 @@
         drop(held);
     });
     shell.shared.metrics.connections.inc();
-    Ok(Some(pool::Connection::new(sender, driver.abort_handle(), permit, address.clone())))
+    Ok(Some(pool::Connection::new(sender, driver.abort_handle(), permit, address.clone(), budget)))
+}
+
+/// Why a connection failed before the complete reply.
+fn loss(connection: &pool::Connection) -> event::Loss {
+    if connection.budget.is_exhausted() { event::Loss::TooLarge } else { event::Loss::Broken }
 }
 
 async fn receive(
@@ -152,23 +165,25 @@
     dispatch: &event::Dispatch,
     name: &CompactString,
     request: &protocol::Request,
-    carried: Option<pool::Carried>,
+    identity: Option<pool::Identity>,
     mut connection: pool::Connection,
     response: http::Response<hyper::body::Incoming>,
 ) -> protocol::Reply {
     let (head, body) = response.into_parts();
     let limit = shell.shared.settings.reply_bytes_max;
-    let Ok(body) = Limited::new(body, limit).collect().await else {
-        return protocol::Reply::lost(event::Loss::Broken);
+    let body = match connection.budget.collect(body, limit).await {
+        Ok(body) => body,
+        Err(metered::Error::TooLarge { .. }) => return protocol::Reply::lost(event::Loss::TooLarge),
+        Err(metered::Error::Broken { .. }) => return protocol::Reply::lost(loss(&connection)),
     };
     let reply = match dispatch.relayed {
-        Some(_) => relay::reply(&head, body.to_bytes()),
-        None => shell.shared.interface.backend.reply(dispatch, name, request, &head, body.to_bytes()),
+        Some(_) => relay::reply(&head, body),
+        None => shell.shared.interface.backend.reply(dispatch, name, request, &head, body),
     };
-    if let Some(carried) = carried
+    if let Some(identity) = identity
         && !matches!(reply.end, event::Reply::Answered(_))
     {
-        connection.record_unanswered(carried, dispatch.deadline, shell.now());
+        connection.record_unanswered(identity, dispatch.deadline, shell.now());
     }
     if reply.is_matched {
         return_to_pool(shell, dispatch, connection, reply.keep_alive).await;
@@ -176,15 +191,21 @@
     reply
 }
 
+/// Whether the connection can be reused within [`MAX_READY_WAIT`].
+async fn becomes_ready(connection: &mut pool::Connection) -> bool {
+    let ready = timeout(time::duration(MAX_READY_WAIT), connection.sender.ready());
+    ready.await.is_ok_and(|ready| ready.is_ok())
+}
+
 async fn return_to_pool(
     shell: &Rc<Shell>,
     dispatch: &event::Dispatch,
     mut connection: pool::Connection,
     idle_timeout: Option<clock::Millis>,
 ) {
-    // The sender is ready at once unless the server sent more than its answer; awaiting it first would
-    // delay the reply by one scheduler round.
-    if connection.sender.is_ready() || connection.sender.ready().await.is_ok() {
+    // The sender is ready at once unless the server sent more than its answer, or answered before it read the request;
+    // awaiting it first would delay the reply by one scheduler round.
+    if connection.sender.is_ready() || becomes_ready(&mut connection).await {
         connection.idle_since = shell.now();
         connection.idle_timeout = idle_timeout.unwrap_or(connection.idle_timeout);
         shell.state.borrow_mut().pools.put(dispatch.server, connection);
--- a/crates/node/src/lane/inbound.rs
+++ b/crates/node/src/lane/inbound.rs
@@ -164,8 +164,9 @@
         }
     }
 
-    /// Waits until the caller has acknowledged all bytes, the connection broke, or the caller acknowledged none for the
-    /// time after which an unread answer is given up.
+    /// Waits until the caller has acknowledged all bytes. Gives up if the connection breaks, if the caller acknowledges
+    /// nothing for `answer_wait_ms`, or, unless the node drains, if there are too many connections; the kernel then sends
+    /// the rest on its own.
     async fn flush(&self) {
         let shell = &self.0.shell;
         let socket = socket2::SockRef::from(&self.0.stream);
@@ -176,9 +177,12 @@
         let mut unsent = usize::MAX;
         let mut progress_at = shell.now();
         loop {
-            let left = send_queue::length(&self.0.stream).unwrap_or(0);
+            let Some(left) = send_queue::length(&self.0.stream) else {
+                return;
+            };
             let is_broken = !matches!(socket.take_error(), Ok(None));
-            if left == 0 || is_broken {
+            let is_surplus = shell.shared.phase() < shared::Phase::Draining && shell.surplus_connections() > 0;
+            if left == 0 || is_broken || is_surplus {
                 return;
             }
             if left < unsent {
@@ -289,9 +293,7 @@
     /// Closes the connections that have been idle for longest if there are more than the limit. Busy ones
     /// stay regardless of their number: an immediate refusal is better than a connection not accepted.
     pub(super) fn close_idle_connections(&self) {
-        let lanes = self.shared.lanes.len().max(1);
-        let limit = (f64::from(self.shared.settings.descriptors) * DESCRIPTOR_FRACTION) as usize / lanes;
-        let surplus = self.inbound.borrow().len().saturating_sub(limit);
+        let surplus = self.surplus_connections();
         if surplus == 0 {
             return;
         }
@@ -300,6 +302,13 @@
         }
     }
 
+    /// Number of connections above the limit.
+    fn surplus_connections(&self) -> usize {
+        let lanes = self.shared.lanes.len().max(1);
+        let limit = (f64::from(self.shared.settings.descriptors) * DESCRIPTOR_FRACTION) as usize / lanes;
+        self.inbound.borrow().len().saturating_sub(limit)
+    }
+
     /// Closes idle connections whose buffers the library keeps for the next answer, while more is held than the mark.
     pub(super) fn close_idle_buffers(&self) {
         if !self.is_memory_short() {
--- a/crates/node/src/lane/pool.rs
+++ b/crates/node/src/lane/pool.rs
@@ -20,6 +20,8 @@
 use shallothub_core::{catalog, clock, id, traffic::event};
 use tokio::task;
 
+use crate::metered;
+
 /// Idle timeout of a server that does not report its own.
 const DEFAULT_IDLE_TIMEOUT: clock::Millis = clock::Millis(30_000);
 /// Fraction of the server's idle timeout within which a connection is reused: a request sent while the
@@ -34,12 +36,12 @@
 /// Maximum number of unanswered requests that a connection remembers; with more, it is not reused.
 const MAX_UNANSWERED: usize = 64;
 
-/// A request that an attempt carried, by a hash of the id that all of its attempts share.
+/// The id that all attempts of a request share, hashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Carried(u64);
+pub(crate) struct Identity(u64);
 
-impl Carried {
-    /// The request with the id `reply_id`.
+impl Identity {
+    /// The identity of requests whose replies bear `reply_id`.
     pub(crate) fn new(reply_id: &[u8]) -> Self {
         Self(catalog::Digest::of_bytes(reply_id).0)
     }
@@ -47,16 +49,16 @@
 
 /// The requests of a connection that ended there without an answer, and may be attempted again.
 #[derive(Debug, Default)]
-struct Unanswered(Vec<(Carried, clock::Millis)>);
+struct Unanswered(Vec<(Identity, clock::Millis)>);
 
 impl Unanswered {
     /// Adds a request that is not attempted again after `deadline`.
-    fn add(&mut self, request: Carried, deadline: clock::Millis, now: clock::Millis) {
+    fn add(&mut self, request: Identity, deadline: clock::Millis, now: clock::Millis) {
         self.0.retain(|(_, deadline)| *deadline > now);
         self.0.push((request, deadline));
     }
 
-    fn contains(&self, request: Carried) -> bool {
+    fn contains(&self, request: Identity) -> bool {
         self.0.iter().any(|(other, _)| *other == request)
     }
 
@@ -78,6 +80,8 @@
     /// Time for which the server keeps it open while idle.
     pub(crate) idle_timeout: clock::Millis,
     unanswered: Unanswered,
+    /// Bounds the bytes of each reply.
+    pub(crate) budget: metered::Budget,
 }
 
 impl Connection {
@@ -86,6 +90,7 @@
         driver: task::AbortHandle,
         permit: Permit,
         address: CompactString,
+        budget: metered::Budget,
     ) -> Self {
         let idle_since = clock::Millis::ZERO;
         Self {
@@ -96,11 +101,12 @@
             idle_since,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             unanswered: Unanswered::default(),
+            budget,
         }
     }
 
     /// Keeps later attempts of `request` off this connection until `deadline`, after which there are none.
-    pub(crate) fn record_unanswered(&mut self, request: Carried, deadline: clock::Millis, now: clock::Millis) {
+    pub(crate) fn record_unanswered(&mut self, request: Identity, deadline: clock::Millis, now: clock::Millis) {
         self.unanswered.add(request, deadline, now);
     }
 
@@ -174,7 +180,7 @@
     pub(crate) fn take(
         &mut self,
         dispatch: &event::Dispatch,
-        request: Option<Carried>,
+        request: Option<Identity>,
         now: clock::Millis,
     ) -> Option<Connection> {
         let pool = self.pools.get_mut(&dispatch.server)?;
@@ -193,17 +199,23 @@
         None
     }
 
-    /// Counts a connection that is about to be opened; the permit must live as long as the connection. An idle
-    /// connection to the server that the attempt cannot use makes room for it. `None` if it would exceed the share,
-    /// which the core's limit on attempts rules out.
+    /// Closes an idle connection to `server` that an attempt cannot use, if its new one would exceed the share.
+    pub(crate) fn make_room(&mut self, server: id::Server) {
+        let Some(pool) = self.pools.get_mut(&server) else {
+            return;
+        };
+        if pool.open_count.get() >= pool.limit && !pool.idle.is_empty() {
+            pool.idle.remove(0);
+        }
+    }
+
+    /// Counts a connection that is about to be opened; the permit must live as long as the connection.
+    /// `None` if it would exceed the share, which the core's limit on attempts rules out.
     pub(crate) fn acquire(&mut self, server: id::Server) -> Option<Permit> {
         if self.open_count.get() >= self.limit {
             self.close_longest_idle();
         }
         let pool = self.pools.entry(server).or_default();
-        if pool.open_count.get() >= pool.limit && !pool.idle.is_empty() {
-            pool.idle.remove(0);
-        }
         if pool.open_count.get() >= pool.limit {
             return None;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod life;
 pub mod log;
 pub mod memory;
+mod metered;
 pub mod metrics;
 mod reload;
 pub mod run;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 use shallothub_standin::{registry, replica};
 
 mod delivery;
+mod endless;
 mod memory;
 mod operators;
 mod store;
