Bound the wait for the log's reader at an exit

What was seen: a node whose output nobody reads did not exit after SIGTERM.

Cause: the main thread wrote the last lines itself, and waited for the lock on the output, which the log's thread held while the pipe was full.

Evidence: a_log_that_is_not_read_does_not_delay_the_exit failed before ("None after 4.02 s", where the maximum is 3.6 s); with fewer lines than a pipe holds, as in the other tests of an exit, the node exits in time.

Change: a thread of its own writes the last lines, and the exit waits 100 ms for it at most.

a_last_answer_that_is_not_read_does_not_keep_its_connection states the bound of the wait for unread answers that came with the drain; it passed before too.

--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -10,7 +10,7 @@
 use std::{
     io::{self, Write},
     mem,
-    sync::{Arc, Condvar, Mutex, PoisonError},
+    sync::{Arc, Condvar, Mutex, PoisonError, mpsc},
     thread, time,
 };
 
@@ -25,6 +25,8 @@
 /// Time for which lines are buffered before they are written. Each write costs a system call and a
 /// wake-up; a crash loses the buffered lines.
 const FLUSH_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Time for which an exiting process waits for the reader of its output.
+const EXIT_FLUSH_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// Changes the filter of a running node and flushes its log.
 #[derive(Clone, Debug)]
@@ -42,9 +44,18 @@
         self.reload.reload(filter).is_ok()
     }
 
-    /// Writes the buffered lines; called before the process exits.
+    /// Writes the buffered lines, or drops them if the output is not read for [`EXIT_FLUSH_TIMEOUT`]; called before the
+    /// process exits.
     pub fn flush(&self) {
-        self.queue.write_out();
+        let (written, is_written) = mpsc::channel();
+        let queue = self.queue.clone();
+        let writer = thread::Builder::new().name("log-flush".to_owned()).spawn(move || {
+            queue.write_out();
+            written.send(()).ok();
+        });
+        if writer.is_ok() {
+            is_written.recv_timeout(EXIT_FLUSH_TIMEOUT).ok();
+        }
     }
 }
 
--- a/tests/platform/delivery.rs
+++ b/tests/platform/delivery.rs
@@ -1,6 +1,8 @@
 //! Delivery of answers to callers that read slowly while their node stops.
 
 use std::{
+    io::{BufRead, BufReader},
+    net, process,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -8,12 +10,18 @@
     time::{Duration, Instant},
 };
 
-use nix::sys::signal::Signal;
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
 use rstest::rstest;
-use shallothub_soak::deployment::Deployment;
+use shallothub_soak::{
+    client::{Client, Kind},
+    deployment::Deployment,
+};
 use tokio::{io::AsyncReadExt, net::TcpStream, task::JoinSet};
 
-use super::{letters, memory};
+use super::{POLL_INTERVAL, letters, memory};
 
 /// Size of an answer: more than the kernels of both ends hold for a connection with a small receive buffer.
 const ANSWER_BYTES: usize = 30_000;
@@ -88,3 +96,57 @@
     assert_eq!(deployment.wait_exit(0).await, Some(0));
     assert!(stopped_at.elapsed() < MAX_STOP_TIME, "{:?}", stopped_at.elapsed());
 }
+
+/// Guards against connections that are kept without end after their last answer, since their callers do not read it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_last_answer_that_is_not_read_does_not_keep_its_connection() {
+    let deployment = start("unread-last", "answer_wait_ms: 300\n").await;
+    let before = deployment.descriptors(0);
+    let mut unread = Vec::new();
+    for caller in 0..CALLERS {
+        let head = format!("unread{caller}");
+        unread.push(memory::begin_last_answer(deployment.nodes[0].listen, &head).await.expect("an answer"));
+    }
+    let began = Instant::now();
+    // Connections to leafs remain.
+    while deployment.descriptors(0) >= before + CALLERS {
+        assert!(began.elapsed() < Duration::from_secs(3), "{} descriptors", deployment.descriptors(0));
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a node that cannot exit since nobody reads its log.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_that_is_not_read_does_not_delay_the_exit() {
+    const REQUESTS: usize = 400;
+    let deployment = start("unread-log", "").await;
+    let text = std::fs::read_to_string(&deployment.nodes[0].settings).expect("settings");
+    let settings = deployment.nodes[0].settings.with_file_name("unread.yaml");
+    std::fs::write(&settings, text.replace("name: node-0", "name: unread")).expect("written");
+    let program = env!("CARGO_BIN_EXE_shallothub");
+    let mut child = process::Command::new(program)
+        .arg("--settings")
+        .arg(&settings)
+        .stdout(process::Stdio::piped())
+        .spawn()
+        .expect("a node");
+    let mut output = BufReader::new(child.stdout.take().expect("its output"));
+    let mut line = String::new();
+    output.read_line(&mut line).expect("its first line");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    let listen: net::SocketAddr = line["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+    let mut client = Client::new(listen);
+    for request in 0..REQUESTS {
+        client.send(Kind::Read, &format!("log{request}")).await;
+    }
+    let stopped_at = Instant::now();
+    signal::kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM).expect("a signal");
+    let mut exit = None;
+    while exit.is_none() && stopped_at.elapsed() < MAX_STOP_TIME {
+        exit = child.try_wait().expect("its state");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    child.kill().ok();
+    child.wait().ok();
+    assert!(exit.is_some_and(|status| status.success()), "{exit:?} after {:?}", stopped_at.elapsed());
+}
--- a/tests/platform/memory.rs
+++ b/tests/platform/memory.rs
@@ -119,10 +119,20 @@
 
 /// Sends a request for a large answer on a connection with a small receive buffer; `None` if it is refused.
 pub(super) async fn begin_answer(address: net::SocketAddr, name: &str) -> Option<TcpStream> {
+    begin(address, &request("GET /read/unread", name, 0)).await
+}
+
+/// Like [`begin_answer`], on a connection that is closed after the answer.
+pub(super) async fn begin_last_answer(address: net::SocketAddr, name: &str) -> Option<TcpStream> {
+    let head = opposite::request_text("GET /read/unread", deployment::HOST, name, "60000");
+    begin(address, format!("{head}connection: close\r\n\r\n").as_bytes()).await
+}
+
+async fn begin(address: net::SocketAddr, request: &[u8]) -> Option<TcpStream> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER).ok()?;
     let mut stream = socket.connect(address).await.ok()?;
-    stream.write_all(&request("GET /read/unread", name, 0)).await.ok()?;
+    stream.write_all(request).await.ok()?;
     let mut line = [0; 12];
     stream.read_exact(&mut line).await.ok()?;
     (&line == b"HTTP/1.1 200").then_some(stream)
