Bound the wait for callers that do not read, also without a bound on memory

Only hosts with a bound on memory ended the connection of a caller that took nothing of its answer; on others, the write waited without end, and so would each draining of such a host until its maximum. Now answer_wait_ms applies to all hosts.

Not covered by a test of its own: without the bound on memory the kernel takes hundreds of kilobytes at once, which extends the wait by 65 s. The tests of stalled callers with a bound on memory pass as before.

--- a/crates/node/src/lane/inbound.rs
+++ b/crates/node/src/lane/inbound.rs
@@ -9,8 +9,8 @@
 //! A connection that is closed stays open until its caller has acknowledged all that was sent. What the kernel still
 //! holds is lost if a host is replaced, and a draining node exits once no connection is open.
 //!
-//! With a bound on memory, the wrapper also counts what a connection holds, and closes the connection of a caller that
-//! does not read its answer; see [`output`](super::output).
+//! The wrapper also closes the connection of a caller that does not read its answer and, with a bound on memory, counts
+//! what a connection holds; see [`output`](super::output).
 
 use std::{
     cell::RefCell,
@@ -61,8 +61,7 @@
     state: RefCell<State>,
     /// Notified to close the connection while it is idle.
     close: Notify,
-    /// The bytes that the connection holds; `None` if no bound on memory is set.
-    output: Option<output::Output>,
+    output: output::Output,
     /// Counts the connection as open; dropped after the socket.
     _open: shared::Guard,
 }
@@ -124,9 +123,7 @@
                 Ok(0) | Err(_) => state.is_ended = true,
                 Ok(_) => {
                     state.read_ahead.extend_from_slice(&bytes);
-                    if let Some(output) = &self.0.output {
-                        output.set_read_ahead(state.read_ahead.capacity(), self.0.shell.now());
-                    }
+                    self.0.output.set_read_ahead(state.read_ahead.capacity(), self.0.shell.now());
                 }
             }
         }
@@ -233,10 +230,7 @@
 
 impl AsyncBufWrite for Connection {
     async fn write<B: BoundedBuf>(&self, buffer: B) -> (io::Result<usize>, B) {
-        match &self.0.output {
-            Some(output) => output.write(&self.0.shell, &self.0.stream, buffer).await,
-            None => self.0.stream.write(buffer).await,
-        }
+        self.0.output.write(&self.0.shell, &self.0.stream, buffer).await
     }
 
     async fn shutdown(self, direction: net::Shutdown) -> io::Result<()> {
@@ -315,7 +309,7 @@
             return;
         }
         for inner in self.idle_connections() {
-            if inner.output.as_ref().is_some_and(output::Output::has_large_buffer) {
+            if inner.output.has_large_buffer() {
                 inner.close.notify_one();
             }
         }
--- a/crates/node/src/lane/output.rs
+++ b/crates/node/src/lane/output.rs
@@ -34,10 +34,10 @@
 /// Size from which a buffer that the library keeps is worth a new connection.
 const LARGE_BUFFER: Size = Size(16 << 10);
 
-/// The bytes that a connection holds besides request bodies.
+/// The bytes that a connection holds besides request bodies, and the progress of its answer.
 pub(super) struct Output {
-    /// The connection, its buffers and what was read ahead.
-    connection: Held,
+    /// The connection, its buffers and what was read ahead; `None` if no bound on memory is set.
+    connection: Option<Held>,
     /// The answer that waits for the caller.
     answer: RefCell<Option<Held>>,
     /// Progress of the current answer.
@@ -48,18 +48,20 @@
 }
 
 impl Output {
-    /// Counts a new connection; `None` if no bound on memory is set.
-    pub(super) fn new(shell: &Shell, stream: &TcpStream) -> Option<Self> {
-        let connection = Held::new(shell.shared.memory.as_ref(), Kind::Connections, CONNECTION_SIZE, shell.now())?;
-        // Without the option the kernel holds more of an unread answer, and the connection is closed later.
-        socket2::SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES).ok();
-        Some(Self {
+    /// Counts a new connection.
+    pub(super) fn new(shell: &Shell, stream: &TcpStream) -> Self {
+        let connection = Held::new(shell.shared.memory.as_ref(), Kind::Connections, CONNECTION_SIZE, shell.now());
+        if connection.is_some() {
+            // Without the option the kernel holds more of an unread answer, and the connection is closed later.
+            socket2::SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES).ok();
+        }
+        Self {
             connection,
             answer: RefCell::default(),
             progress: Cell::default(),
             buffer: Cell::default(),
             read_ahead: Cell::default(),
-        })
+        }
     }
 
     /// Sets the size of what was read ahead.
@@ -77,8 +79,11 @@
 
     /// Counts the buffer once: with the answer while that waits, else with the connection.
     fn count_connection(&self, now: clock::Millis) {
+        let Some(connection) = &self.connection else {
+            return;
+        };
         let buffer = if self.answer.borrow().is_some() { Size::ZERO } else { self.buffer.get() };
-        self.connection.resize(CONNECTION_SIZE + buffer + self.read_ahead.get(), now);
+        connection.resize(CONNECTION_SIZE + buffer + self.read_ahead.get(), now);
     }
 
     /// Writes a part of `buffer`. Fails if the caller takes nothing of it for longer than one that reads slowly, or if the
@@ -136,8 +141,12 @@
     }
 
     fn record_closure(&self, shell: &Shell, wait: clock::Millis) {
-        if let Some(memory) = &shell.shared.memory {
-            memory.record_closure(Kind::Answers, self.buffer.get(), wait, shell.now());
+        let bytes = self.buffer.get();
+        match &shell.shared.memory {
+            Some(memory) => memory.record_closure(Kind::Answers, bytes, wait, shell.now()),
+            None => {
+                tracing::warn!(bytes = bytes.0, stalled_ms = wait.0, "closed an answer that its caller does not read")
+            }
         }
     }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -81,8 +81,7 @@
     #[serde(default)]
     pub memory: Option<Memory>,
     /// Time without progress after which the connection of a caller that does not read its answer is closed, in ms. The
-    /// time in which a slow reader may show no progress is added to it, at most 65 s. Applies only if `memory` is set.
-    /// Default 5000.
+    /// time in which a slow reader may show no progress is added to it, at most 65 s. Default 5000.
     #[serde(default = "answer_wait")]
     pub answer_wait_ms: clock::Millis,
     /// Time to keep serving after SIGTERM until the load balancer notices, in ms. Default 3000.
