--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -208,20 +208,17 @@
     }
     let mut search_times = Vec::new();
     let mut most_resident = 0;
-    let mut round = 0;
     let mut outcomes = Vec::new();
-    while let Some(done) = {
+    while !callers.is_empty() || search_times.len() < MIN_SEARCHES {
         let began = Instant::now();
-        let searched = searcher.send(Kind::Gather, &format!("s{round}")).await;
+        let searched = searcher.send(Kind::Gather, &format!("s{}", search_times.len())).await;
         assert!(served_services(&searched) >= 3, "{searched:?}");
         search_times.push(began.elapsed());
         most_resident = most_resident.max(deployment.resident(0));
-        round += 1;
+        if let Some(done) = callers.try_join_next() {
+            outcomes.extend(done.expect("a caller"));
+        }
         tokio::time::sleep(POLL_INTERVAL).await;
-        let is_done = callers.is_empty() && search_times.len() >= MIN_SEARCHES;
-        if is_done { None } else { Some(callers.try_join_next()) }
-    } {
-        outcomes.extend(done.into_iter().flat_map(|done| done.expect("a caller")));
     }
     let requests = ledger.requests.lock().expect("the requests").clone();
     assert!(!requests.is_empty());
@@ -247,5 +244,5 @@
     search_times.sort_unstable();
     let slow = search_times[search_times.len() * 9 / 10];
     assert!(slow < MAX_SEARCH_TIME, "searches took {slow:?}");
-    println!("{form:?} {pause_ms}: written {written}, growth {growth}, 90% {slow:?} of {round}");
+    println!("{form:?}, {pause_ms} ms: {written} bytes written, {growth} bytes of memory, searches {slow:?}");
 }
