--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -39,7 +39,8 @@
         let answer = exchange(node, host, path, &id, left);
         let status = answer.as_ref().map_or(0, http::Message::status);
         outcome.attempts.push((id, status));
-        let retry_after: f64 = answer.as_ref().and_then(|answer| answer.header("retry-after").parse().ok()).unwrap_or(0.0);
+        let retry_after: f64 =
+            answer.as_ref().and_then(|answer| answer.header("retry-after").parse().ok()).unwrap_or(0.0);
         outcome.answer = answer;
         if matches!(status, 200..300 | 400 | 401 | 404 | 413 | 431) {
             break;
@@ -55,10 +56,8 @@
     let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT.min(left)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(left)).ok()?;
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\r\n",
-        left.as_millis()
-    );
+    let request =
+        format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\r\n", left.as_millis());
     stream.write_all(request.as_bytes()).ok()?;
     http::read(&mut stream, &mut Vec::new()).ok()?
 }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,13 +1,15 @@
 //! The scripts' cases and stand-ins, with the standard library alone. `build-2.sh` builds this program.
 //!
-//! `review-2 restored-route DIRECTORY`: see `review/4/claim.txt`. It writes `record.txt` there and exits with 1 if the
-//! rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
+//! `review-2 CASE DIRECTORY` plays a case; see `claim.txt` in its folder. It writes `record.txt` into DIRECTORY and exits
+//! with 1 if the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod client;
 mod http;
 mod leaf;
+mod merged_route;
 mod node;
 mod restored_route;
+mod scene;
 mod store;
 
 use std::{env, path::Path, process};
@@ -23,6 +25,7 @@
             argument(4).parse().unwrap_or(1),
             argument(5).parse().unwrap_or(1),
         ),
+        "merged-route" => process::exit(merged_route::main(Path::new(argument(2)), has_trouble)),
         "restored-route" => process::exit(restored_route::main(Path::new(argument(2)), has_trouble)),
         other => {
             eprintln!("no such case: {other}");
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -50,9 +50,8 @@
         state.revision += 1;
         let revision = state.revision;
         let value = base64(value.as_bytes());
-        let item = format!(
-            r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{revision},"lease":0}}"#
-        );
+        let item =
+            format!(r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{revision},"lease":0}}"#);
         state.items.insert(key.to_owned(), item.clone());
         state.changes.push((revision, item));
         self.changed.notify_all();
