--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,7 @@
 mod node;
 mod restored_route;
 mod scene;
+mod spoiled_stamp;
 mod store;
 
 use std::{env, path::Path, process};
@@ -26,6 +27,7 @@
             argument(5).parse().unwrap_or(1),
         ),
         "merged-route" => process::exit(merged_route::main(Path::new(argument(2)), has_trouble)),
+        "spoiled-stamp" => process::exit(spoiled_stamp::main(Path::new(argument(2)), has_trouble)),
         "restored-route" => process::exit(restored_route::main(Path::new(argument(2)), has_trouble)),
         other => {
             eprintln!("no such case: {other}");
