--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod merged_route;
 mod node;
 mod restored_route;
+mod same_port;
 mod scene;
 mod spoiled_stamp;
 mod store;
@@ -27,6 +28,7 @@
             argument(5).parse().unwrap_or(1),
         ),
         "merged-route" => process::exit(merged_route::main(Path::new(argument(2)), has_trouble)),
+        "same-port" => process::exit(same_port::main(Path::new(argument(2)), has_trouble)),
         "spoiled-stamp" => process::exit(spoiled_stamp::main(Path::new(argument(2)), has_trouble)),
         "restored-route" => process::exit(restored_route::main(Path::new(argument(2)), has_trouble)),
         other => {
--- a/review/standins-2/scene.rs
+++ b/review/standins-2/scene.rs
@@ -55,6 +55,11 @@
         Ok(Self { child, runs })
     }
 
+    /// How often the request with `id` ran.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        *self.runs.lock().expect("the ledger").get(id).unwrap_or(&0)
+    }
+
     /// Sends a signal to the leafs' process.
     pub fn signal(&self, signal: &str) {
         Command::new("kill").arg(signal).arg(self.child.id().to_string()).status().ok();
