Withhold an answer that lacks the payload of a counted shard

Hypotheses that logs and metrics could not tell apart: a reply counts although it had no payload when it arrived; a payload arrives and is dropped before the answer is built; the answer is built without a payload that is there. Parts without a payload were left out in silence at two places (`Shell::answer`, and the frontend's merge).

Change: `content::Content` joins an answer of the core with the payloads in one place, and fails if a contribution has none, or one of another shape. The node then counts and logs a breach of `true_coverage`, which names query and shard, and answers `withheld` (504 on the platform), so that coverage is never overstated. The frontends get the content in the shape that they encode and can skip no part.

That replies without a payload count at all is not mended by this commit.

--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -8,7 +8,7 @@
 
 use crate::{clock, evidence, id, invariant, plan::gatherers, suspect, urgency, view};
 
-use super::{note, why};
+use super::{gather::RETRY_AFTER, note, why};
 
 /// An event for the core to process.
 #[derive(Clone, Debug)]
@@ -427,6 +427,22 @@
     pub cost: Cost,
 }
 
+impl Answer {
+    /// This answer without its results, for a caller that must not receive them.
+    pub fn withheld(mut self) -> Self {
+        self.missing.extend(self.contributed.drain(..).map(|(shard, _)| shard));
+        Self {
+            outcome: Outcome::Unknown,
+            code: Code::Withheld,
+            lateness: None,
+            snapshot: None,
+            failure: None,
+            retry_after: Some(RETRY_AFTER),
+            ..self
+        }
+    }
+}
+
 /// The number of attempts made for one query.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cost {
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -19,8 +19,8 @@
 
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
-use shallothub_core::{catalog, clock, control, id, route, table, traffic, traffic::estimate, view};
-use shallothub_wire::protocol;
+use shallothub_core::{catalog, clock, control, id, invariant, route, table, traffic, traffic::estimate, view};
+use shallothub_wire::{content, protocol};
 use snafu::ResultExt;
 use tokio::{runtime, sync::mpsc, sync::oneshot, task, time::sleep};
 
@@ -314,23 +314,24 @@
             return;
         };
         let mut held = Vec::new();
-        let mut payloads: IndexMap<id::Attempt, protocol::Payload> = payloads
+        let payloads: IndexMap<id::Attempt, protocol::Payload> = payloads
             .into_iter()
             .map(|reply| {
                 held.extend(reply.held);
                 (reply.attempt, reply.payload)
             })
             .collect();
-        let mut parts = Vec::with_capacity(answer.contributed.len());
-        for (shard, attempt) in &answer.contributed {
-            if let Some(payload) = payloads.swap_remove(attempt) {
-                parts.push(protocol::Part { shard: shard.clone(), payload });
-            }
-        }
-        let failure = answer.failure.and_then(|attempt| payloads.swap_remove(&attempt));
         let name = answer.query.map(|query| self.query_name(query));
+        let (core, content) = match content::Content::new(&answer, payloads) {
+            Ok(content) => (answer, content),
+            Err(error) => {
+                let detail = format!("{}: {error}", name.as_deref().unwrap_or_default());
+                self.shared.metrics.record_breach(&invariant::Breach { name: invariant::Name::TrueCoverage, detail });
+                (answer.withheld(), content::Content::Empty)
+            }
+        };
         // Fails if the caller closed its connection; `HangUp` notifies the core of that.
-        let answer = protocol::Answer { core: answer, parts, failure, name };
+        let answer = protocol::Answer { core, content, name };
         caller.reply.send(Answer { answer, _held: held }).ok();
     }
 
--- a/crates/node/src/lane/overload.rs
+++ b/crates/node/src/lane/overload.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use shallothub_core::{bytes, clock, id, traffic::event, traffic::why, view};
-use shallothub_wire::protocol;
+use shallothub_wire::{content, protocol};
 
 use super::Shell;
 
@@ -35,7 +35,7 @@
             retry_after: Some(self.retry_after),
             cost: event::Cost::default(),
         };
-        protocol::Answer { core, parts: Vec::new(), failure: None, name: None }
+        protocol::Answer { core, content: content::Content::Empty, name: None }
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! over HTTP; hosts use MessagePack among each other.
 
 pub mod caller;
+pub mod content;
 pub mod leaf;
 pub mod own;
 pub mod peer;
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -11,7 +11,7 @@
 use serde_json::value::RawValue;
 use shallothub_core::{clock, id, traffic::event};
 
-use crate::{caller, leaf, protocol};
+use crate::{caller, content, leaf, protocol};
 
 /// The product's own interface, towards callers and backend servers.
 #[derive(Clone, Copy, Debug)]
@@ -43,12 +43,11 @@
 
     fn answer(&self, answer: protocol::Answer) -> http::Response<Bytes> {
         let core = &answer.core;
-        let parts = answer.parts.iter().filter_map(|part| match &part.payload {
-            protocol::Payload::Hits(hits) => {
-                Some(caller::Part { shard: part.shard.clone(), hits: Cow::Borrowed(&**hits as &RawValue) })
-            }
-            _ => None,
-        });
+        // Selectors have answers of this shape only.
+        let parts = if let content::Content::Hits(parts) = &answer.content { parts.as_slice() } else { &[] };
+        let parts = parts
+            .iter()
+            .map(|part| caller::Part { shard: part.shard.clone(), hits: Cow::Borrowed(&*part.hits as &RawValue) });
         let body = caller::Answer {
             query: answer.name.clone(),
             outcome: core.outcome,
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -14,6 +14,8 @@
 use serde_json::value::RawValue;
 use shallothub_core::{clock, control, control::mirror, id, traffic::event};
 
+use crate::content;
+
 /// The destination of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Destination {
@@ -73,12 +75,7 @@
     /// The hits of a shard, in JSON.
     Hits(Box<RawValue>),
     /// The records of a shard.
-    Records {
-        /// The server's signature, which is listed in the answer.
-        signature: CompactString,
-        /// The encoded records.
-        bytes: Bytes,
-    },
+    Records(content::Records),
     /// The complete response, to be forwarded unchanged.
     Whole(Box<Response>),
 }
@@ -88,7 +85,7 @@
     pub fn len(&self) -> usize {
         match self {
             Self::Hits(hits) => hits.get().len(),
-            Self::Records { bytes, .. } => bytes.len(),
+            Self::Records(records) => records.bytes.len(),
             Self::Whole(response) => response.body.len(),
         }
     }
@@ -97,6 +94,21 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    /// The hits; `None` if this is another kind of payload.
+    pub fn into_hits(self) -> Option<Box<RawValue>> {
+        if let Self::Hits(hits) = self { Some(hits) } else { None }
+    }
+
+    /// The records; `None` if this is another kind of payload.
+    pub fn into_records(self) -> Option<content::Records> {
+        if let Self::Records(records) = self { Some(records) } else { None }
+    }
+
+    /// The complete response; `None` if this is another kind of payload.
+    pub fn into_response(self) -> Option<Box<Response>> {
+        if let Self::Whole(response) = self { Some(response) } else { None }
+    }
 }
 
 /// A server's complete response.
@@ -131,24 +143,13 @@
     }
 }
 
-/// The result of one shard.
-#[derive(Clone, Debug)]
-pub struct Part {
-    /// The name of the shard.
-    pub shard: CompactString,
-    /// The content of the server's reply.
-    pub payload: Payload,
-}
-
-/// The core's answer with its payloads.
+/// The core's answer with its content.
 #[derive(Debug)]
 pub struct Answer {
     /// The answer that the core decided on.
     pub core: event::Answer,
-    /// The results, one per shard that contributed.
-    pub parts: Vec<Part>,
-    /// A server's failure response, to be forwarded.
-    pub failure: Option<Payload>,
+    /// What the caller receives of the servers' replies.
+    pub content: content::Content,
     /// The query id for `shallotctl explain`; `None` if the request never became a query.
     pub name: Option<CompactString>,
 }
