Count a success only with one valid signature

The shard was not repeated, and least coverage was judged on shards that were not in the answer.

Cause: two readings of one header. The reply counted as answered if the header was there; its payload was built only if the value was ASCII, and the type of a reply allowed an answer without a payload. An empty, blank or split value, a comma or a second header had a like effect: fewer or more entries in the list than parts.

Change: `signature::Signature` is parsed once, from exactly one header of visible ASCII without commas. Without it a success ends as `Loss::Unsigned`, which the core treats as any lost attempt: another replica within the limit of servers and the budget of repeats, evidence against the leaf, an unknown end for what may run once. `protocol::End::Answered` has its payload by type, on both interfaces and for relayed gathers. Why it works: what the core counts is what was parsed, so that coverage, least coverage and the list in the answer come from the same value.

Tests changed: replies are now compared by `protocol::End`; a success without a signature is `Unsigned`, which was `Unusable` before and is as strict. The loop of a_weak_host_relays_searches moved into a function that two tests use.

--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -139,6 +139,8 @@
     Mismatched,
     /// The answer contains neither a result nor a statement that the attempt did not run.
     Unusable,
+    /// The answer's signature is missing or malformed, so that nothing shows that the answer is the server's.
+    Unsigned,
     /// The server sent more bytes than a reply may have.
     TooLarge,
     /// The server restarted, so its previous incarnation can no longer answer.
@@ -152,6 +154,7 @@
             Self::Broken => "the connection broke before the whole answer was here",
             Self::Mismatched => "the answer belongs to another request",
             Self::Unusable => "the answer is invalid",
+            Self::Unsigned => "the answer's signature is missing or malformed",
             Self::TooLarge => "the server sent more bytes than a reply may have",
             Self::Restarted => "the server restarted before it answered",
         }
--- a/crates/node/src/lane/attempt.rs
+++ b/crates/node/src/lane/attempt.rs
@@ -31,11 +31,7 @@
 /// Runs `dispatch` and passes its result to the core. Aborting the task closes the connection.
 pub(super) async fn run(shell: Rc<Shell>, dispatch: event::Dispatch, request: Rc<protocol::Request>) {
     let reply = send(&shell, &dispatch, &request).await;
-    shell.finish_attempt(dispatch.attempt, dispatch.query, reply.end, reply.payload);
-}
-
-fn without_payload(end: event::Reply) -> protocol::Reply {
-    protocol::Reply { end, payload: None, is_matched: false, keep_alive: None }
+    shell.finish_attempt(dispatch.attempt, dispatch.query, reply.end);
 }
 
 async fn send(shell: &Rc<Shell>, dispatch: &event::Dispatch, request: &protocol::Request) -> protocol::Reply {
@@ -57,7 +53,7 @@
             }
         };
         let Some(mut connection) = connection else {
-            return without_payload(event::Reply::NotSent);
+            return protocol::Reply::unmatched(protocol::End::NotSent);
         };
         let remaining = dispatch.deadline.since(shell.now());
         let message = match (unsent.take(), dispatch.relayed) {
@@ -66,7 +62,7 @@
             (None, None) => leafs.request(dispatch, &name, request, remaining),
         };
         let Some(message) = message else {
-            return without_payload(event::Reply::NotSent);
+            return protocol::Reply::unmatched(protocol::End::NotSent);
         };
         connection.budget.reset();
         match connection.sender.try_send_request(message).await {
@@ -78,7 +74,7 @@
                     return protocol::Reply::lost(loss(&connection));
                 };
                 if is_new {
-                    return without_payload(event::Reply::NotSent);
+                    return protocol::Reply::unmatched(protocol::End::NotSent);
                 }
                 unsent = Some(message);
             }
@@ -181,7 +177,7 @@
         None => shell.shared.interface.backend.reply(dispatch, name, request, &head, body),
     };
     if let Some(identity) = identity
-        && !matches!(reply.end, event::Reply::Answered(_))
+        && !matches!(reply.end, protocol::End::Answered { .. })
     {
         connection.record_unanswered(identity, dispatch.deadline, shell.now());
     }
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -283,13 +283,8 @@
     }
 
     /// Passes an attempt's result to the core. Its payload is kept only while the query is unanswered.
-    fn finish_attempt(
-        self: &Rc<Self>,
-        attempt: id::Attempt,
-        query: id::Query,
-        reply: traffic::event::Reply,
-        payload: Option<protocol::Payload>,
-    ) {
+    fn finish_attempt(self: &Rc<Self>, attempt: id::Attempt, query: id::Query, end: protocol::End) {
+        let (reply, payload) = end.split();
         {
             let mut state = self.state.borrow_mut();
             if state.tasks.swap_remove(&attempt).is_none() {
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -51,6 +51,8 @@
     Doubled,
     /// Responds with the id and signature of another request.
     Mistaken,
+    /// Signs its responses with these values instead, one header for each.
+    SignedAs(&'static [&'static [u8]]),
     /// Responds without a length, and marks the end of the body by closing.
     Unframed,
     /// Responds before it has read the request body, and reads it afterwards.
@@ -339,7 +341,10 @@
         };
         let body = if incoming.method == "HEAD" { Vec::new() } else { body };
         let signature = signature(&self.current_id(), &request, &self.service);
-        let headers = opposite::answer_headers(&request, Some(&signature), self.load());
+        let mut headers = opposite::answer_headers(&request, Some(&signature), self.load());
+        if let Behaviour::SignedAs(values) = behaviour {
+            opposite::set_signatures(&mut headers, values);
+        }
         let length = if behaviour == Behaviour::Unframed { None } else { Some(body.len()) };
         let mut bytes = head(status, &headers, length);
         bytes.extend_from_slice(&body);
--- a/crates/wire/src/content.rs
+++ b/crates/wire/src/content.rs
@@ -11,7 +11,7 @@
 use shallothub_core::{id, traffic::event, view};
 use snafu::{OptionExt, Snafu};
 
-use crate::protocol;
+use crate::{protocol, signature};
 
 /// A contribution without a payload that can be part of the answer.
 #[derive(Debug, PartialEq, Eq, Snafu)]
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct Records {
     /// The server's signature, which is listed in the answer.
-    pub signature: CompactString,
+    pub signature: signature::Signature,
     /// The encoded records.
     pub bytes: Bytes,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod platform;
 pub mod protocol;
 pub mod relay;
+pub mod signature;
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -135,13 +135,13 @@
         }
         let end = match head.status {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                event::Reply::Refused { retry_after: retry_after(&head.headers) }
+                protocol::End::Refused { retry_after: retry_after(&head.headers) }
             }
-            StatusCode::CONFLICT => event::Reply::Duplicate,
-            _ => event::Reply::Lost(event::Loss::Unusable),
+            StatusCode::CONFLICT => protocol::End::Duplicate,
+            _ => protocol::End::Lost(event::Loss::Unusable),
         };
         // A second copy of a response without an id would pass for the reply to the next request.
-        protocol::Reply { end, payload: None, is_matched: echo.is_some(), keep_alive: None }
+        protocol::Reply { end, is_matched: echo.is_some(), keep_alive: None }
     }
 }
 
@@ -155,8 +155,8 @@
     }
     let part =
         event::Part { snapshot: reply.snapshot, held: reply.held, hits: reply.count, load: reply.load, queue: None };
-    let payload = Some(protocol::Payload::Hits(reply.hits.to_owned()));
-    protocol::Reply { end: event::Reply::Answered(part), payload, is_matched: true, keep_alive: None }
+    let payload = protocol::Payload::Hits(reply.hits.to_owned());
+    protocol::Reply { end: protocol::End::Answered { part, payload }, is_matched: true, keep_alive: None }
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<clock::Millis> {
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -122,13 +122,56 @@
     pub body: Bytes,
 }
 
-/// The result of an attempt whose reply was received completely.
+/// The end of an attempt, with the payload of its reply. A reply without a usable payload is no answer.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// The server ran it and its complete answer was received.
+    Answered {
+        /// What the core needs to know of the answer.
+        part: event::Part,
+        /// The content of the answer.
+        payload: Payload,
+    },
+    /// The server ran it and reported a failure.
+    Failed {
+        /// The response to forward; `None` if failures of this attempt are not forwarded.
+        response: Option<Box<Response>>,
+    },
+    /// The server refused it before running it.
+    Refused {
+        /// Time from now after which the server accepts a retry; `None` if it gave none.
+        retry_after: Option<clock::Millis>,
+    },
+    /// Another server now has the address and did not run the request.
+    Misdirected,
+    /// The server knows the request key: the request is running or ran.
+    Duplicate,
+    /// No byte of it reached the server.
+    NotSent,
+    /// No usable reply; the attempt may or may not have run.
+    Lost(event::Loss),
+}
+
+impl End {
+    /// Separates what the core is told from the payload, which stays with the connection's thread.
+    pub fn split(self) -> (event::Reply, Option<Payload>) {
+        match self {
+            Self::Answered { part, payload } => (event::Reply::Answered(part), Some(payload)),
+            Self::Failed { response } => (event::Reply::Failed, response.map(Payload::Whole)),
+            Self::Refused { retry_after } => (event::Reply::Refused { retry_after }, None),
+            Self::Misdirected => (event::Reply::Misdirected, None),
+            Self::Duplicate => (event::Reply::Duplicate, None),
+            Self::NotSent => (event::Reply::NotSent, None),
+            Self::Lost(loss) => (event::Reply::Lost(loss), None),
+        }
+    }
+}
+
+/// The result of an attempt.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    /// The result that is passed to the core.
-    pub end: event::Reply,
-    /// The content; `None` unless the reply is an answer or a failure that can be forwarded.
-    pub payload: Option<Payload>,
+    /// How the attempt ended.
+    pub end: End,
     /// Whether the reply is known to belong to this attempt. Otherwise the connection may be out of sync and is
     /// not reused.
     pub is_matched: bool,
@@ -137,9 +180,14 @@
 }
 
 impl Reply {
-    /// Creates a reply for an attempt of which it is unknown whether it ran.
+    /// Creates the result of an attempt to which no reply can be matched.
+    pub fn unmatched(end: End) -> Self {
+        Self { end, is_matched: false, keep_alive: None }
+    }
+
+    /// Creates the result of an attempt of which it is unknown whether it ran.
     pub fn lost(loss: event::Loss) -> Self {
-        Self { end: event::Reply::Lost(loss), payload: None, is_matched: false, keep_alive: None }
+        Self::unmatched(End::Lost(loss))
     }
 }
 
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -86,20 +86,20 @@
     let outcome = headers.remove(OUTCOME);
     let retry_after = millis(headers.remove(RETRY_AFTER));
     protocol::strip_hop_by_hop(&mut headers);
-    let response = protocol::Response { status: head.status, headers, body };
-    let payload = Some(protocol::Payload::Whole(Box::new(response)));
+    let response = Box::new(protocol::Response { status: head.status, headers, body });
     let has_outcome = |expected: event::Outcome| outcome.as_ref().is_some_and(|value| value == expected.as_str());
-    let (end, payload) = if has_outcome(event::Outcome::Answered) {
+    let end = if has_outcome(event::Outcome::Answered) {
         let snapshot = view::Snapshot { epoch: 0, version: 0 };
-        (event::Reply::Answered(event::Part { snapshot, held: None, hits: 0, load: None, queue: None }), payload)
+        let part = event::Part { snapshot, held: None, hits: 0, load: None, queue: None };
+        protocol::End::Answered { part, payload: protocol::Payload::Whole(response) }
     } else if has_outcome(event::Outcome::NotRun) {
-        (event::Reply::Refused { retry_after }, None)
+        protocol::End::Refused { retry_after }
     } else if has_outcome(event::Outcome::Unknown) {
-        (event::Reply::Failed, payload)
+        protocol::End::Failed { response: Some(response) }
     } else {
         return protocol::Reply::lost(event::Loss::Unusable);
     };
-    protocol::Reply { end, payload, is_matched: true, keep_alive: None }
+    protocol::Reply { end, is_matched: true, keep_alive: None }
 }
 
 fn millis(value: Option<HeaderValue>) -> Option<clock::Millis> {
--- a/crates/wire/tests/content.rs
+++ b/crates/wire/tests/content.rs
@@ -37,7 +37,8 @@
 }
 
 fn records() -> protocol::Payload {
-    protocol::Payload::Records(content::Records { signature: "sig".into(), bytes: Bytes::from_static(&[7; 16]) })
+    let signature = "sig".parse().expect("a signature");
+    protocol::Payload::Records(content::Records { signature, bytes: Bytes::from_static(&[7; 16]) })
 }
 
 fn hits() -> protocol::Payload {
--- a/crates/wire/tests/own.rs
+++ b/crates/wire/tests/own.rs
@@ -26,7 +26,7 @@
     }
 }
 
-fn reply(status: u16, attempt: Option<&'static str>) -> protocol::Reply {
+fn reply(status: u16, attempt: Option<&'static str>, body: &'static [u8]) -> protocol::Reply {
     let request = protocol::Request {
         head: protocol::Head {
             name: "r".into(),
@@ -44,7 +44,7 @@
         response = response.header(leaf::ATTEMPT, attempt);
     }
     let (head, ()) = response.body(()).expect("a response").into_parts();
-    own::Own.reply(&dispatch(), "this", &request, &head, Bytes::new())
+    own::Own.reply(&dispatch(), "this", &request, &head, Bytes::from_static(body))
 }
 
 /// Guards against a late second copy of a rejection that is taken for the reply to a later request.
@@ -53,10 +53,32 @@
 #[case::unavailable(503)]
 #[case::duplicate(409)]
 fn a_rejection_counts_only_for_its_own_attempt(#[case] status: u16) {
-    let matched = reply(status, Some("this"));
-    assert!(!matches!(matched.end, event::Reply::Lost(_)) && matched.is_matched, "{matched:?}");
-    let other = reply(status, Some("another"));
-    assert!(matches!(other.end, event::Reply::Lost(event::Loss::Mismatched)) && !other.is_matched, "{other:?}");
-    let unnamed = reply(status, None);
-    assert!(!matches!(unnamed.end, event::Reply::Lost(_)) && !unnamed.is_matched, "{unnamed:?}");
+    let matched = reply(status, Some("this"), b"");
+    assert!(!matches!(matched.end, protocol::End::Lost(_)) && matched.is_matched, "{matched:?}");
+    let other = reply(status, Some("another"), b"");
+    assert!(matches!(other.end, protocol::End::Lost(event::Loss::Mismatched)) && !other.is_matched, "{other:?}");
+    let unnamed = reply(status, None, b"");
+    assert!(!matches!(unnamed.end, protocol::End::Lost(_)) && !unnamed.is_matched, "{unnamed:?}");
+}
+
+/// Guards against a reply that counts as an answer although its hits cannot be sent on.
+#[rstest]
+#[case::complete(
+    br#"{"attempt":"this","shard":"shard","snapshot":{"epoch":1,"version":1},"count":1,"hits":[1]}"#,
+    true
+)]
+#[case::empty(b"", false)]
+#[case::without_hits(br#"{"attempt":"this","shard":"shard","snapshot":{"epoch":1,"version":1},"count":1}"#, false)]
+#[case::broken_hits(
+    br#"{"attempt":"this","shard":"shard","snapshot":{"epoch":1,"version":1},"count":1,"hits":[1}"#,
+    false
+)]
+#[case::not_utf_8(b"{\"attempt\":\"this\",\"shard\":\"shard\",\"snapshot\":{\"epoch\":1,\"version\":1},\"count\":1,\"hits\":[\"\xe9\"]}", false)]
+#[case::two_lists(
+    br#"{"attempt":"this","shard":"shard","snapshot":{"epoch":1,"version":1},"count":1,"hits":[1],"hits":[2]}"#,
+    false
+)]
+fn a_reply_counts_only_with_its_hits(#[case] body: &'static [u8], #[case] is_answer: bool) {
+    let reply = reply(200, None, body);
+    assert_eq!(matches!(reply.end, protocol::End::Answered { .. }), is_answer, "{reply:?}");
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -20,6 +20,7 @@
 mod endless;
 mod memory;
 mod operators;
+mod signatures;
 mod store;
 
 const SIZE: Size = Size { nodes: 0, shards: 4, replicas: 2, has_two_data_centres: false };
@@ -366,10 +367,9 @@
     assert_eq!(deployment.wait_exit(0).await, Some(0));
 }
 
-/// Guards against wrong results when a host with little processing power relays searches to stronger hosts.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_weak_host_relays_searches() {
-    let mut deployment = start("passes-on", 2).await;
+/// Starts two nodes and a weak one that relays searches to them; returns the index of the weak one.
+async fn start_relaying(test: &str) -> (Deployment, usize) {
+    let mut deployment = start(test, 2).await;
     deployment.extra_settings = "processor: 0.1\n".to_owned();
     let weak = deployment.start_node().expect("a node");
     assert!(deployment.wait_ready(weak).await);
@@ -386,9 +386,16 @@
             && text.contains("shallothub_relayed")
             && !text.contains("shallothub_relayed 0")
         {
-            break;
+            return (deployment, weak);
         }
     }
+}
+
+/// Guards against wrong results when a host with little processing power relays searches to stronger hosts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_weak_host_relays_searches() {
+    let (deployment, weak) = start_relaying("passes-on").await;
+    let mut client = client(&deployment, weak);
     // Writes are not relayed: non-idempotent requests take the fewest hops.
     assert_eq!(served_services(&client.send(Kind::Write, "w").await), 1);
     assert_eq!(runs(&deployment, "w"), 1);
