Give back the place of a query whose class is removed while it waits

Cause: a waiting query took a place among the running queries of its class before its class was looked up in the view in force. If that was gone, the query ended before it was noted as started, and only queries noted so give a place back.

Change: a place is a value. `Class::begin_run` hands out a `class::Run`, `Class::end_run` consumes it, and a query runs if and only if it holds one, so that no end can forget it. The class is looked up before a place is taken.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -163,7 +163,7 @@
             is_canary: false,
             arrived: self.now,
             deadline,
-            started: None,
+            run: None,
             settle_at,
             failure: None,
             shards: Vec::new(),
@@ -254,7 +254,7 @@
         if !is_full && !is_long && wait + run + self.policy.margin < timeout {
             return None;
         }
-        let (running, waiting) = (class.running, class.queue.len());
+        let (running, waiting) = (class.running(), class.queue.len());
         let limit = if self.policy.adaptive_admission { class.limit() } else { self.policy.running_ceiling };
         Some(why::Why::Queue { running, limit, waiting, wait, run, timeout })
     }
@@ -290,7 +290,11 @@
         let Some(query) = self.queries.get(id.0) else {
             return;
         };
-        if query.started.is_some() {
+        if query.run.is_some() {
+            return;
+        }
+        if !self.view.classes.contains_key(&query.selector().name) {
+            self.finish_unanswered(id, event::Code::UnknownClass, None);
             return;
         }
         let class = query.class;
@@ -310,7 +314,10 @@
             self.finish_with_reason(id, event::Code::Revalidating, Some(self.policy.revalidate_grace), why);
             return;
         }
-        self.classes[class].running += 1;
+        let run = self.classes[class].begin_run(now);
+        if let Some(query) = self.queries.get_mut(id.0) {
+            query.run = Some(run);
+        }
         self.send_first_attempts(id);
     }
 
@@ -330,7 +337,6 @@
         query.selector = selector;
         // A view that arrived while the query waited may have changed the branches.
         query.branch = query.branch.min(class.branches.len().saturating_sub(1));
-        query.started.get_or_insert(now);
         let shard_count = query.targets().len();
         query.shards = vec![query::Shard::default(); shard_count];
         query.groups.clear();
--- a/crates/core/src/traffic/class.rs
+++ b/crates/core/src/traffic/class.rs
@@ -48,11 +48,25 @@
     }
 }
 
+/// A place among the running queries of a class. Only [`Class::begin_run`] hands one out, and [`Class::end_run`] takes it
+/// back.
+#[derive(Debug)]
+pub(crate) struct Run {
+    started: clock::Millis,
+}
+
+impl Run {
+    /// The time at which the query began to run.
+    pub(crate) fn started(&self) -> clock::Millis {
+        self.started
+    }
+}
+
 /// A row of the class table.
 #[derive(Debug)]
 pub(crate) struct Class {
     pub(crate) name: CompactString,
-    pub(crate) running: u32,
+    running: u32,
     pub(crate) queue: VecDeque<id::Query>,
     /// Time from a query's start to its end.
     pub(crate) run_times: window::Window,
@@ -100,6 +114,11 @@
         self.limit as u32
     }
 
+    /// The number of running queries.
+    pub(crate) fn running(&self) -> u32 {
+        self.running
+    }
+
     pub(crate) fn has_capacity(&self, policy: &policy::Policy) -> bool {
         let limit = if policy.adaptive_admission { self.limit() } else { policy.running_ceiling };
         self.running < limit
@@ -137,8 +156,16 @@
         drain_time.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
     }
 
-    /// Records the end of a run that took `took` and adjusts the limit, up to `ceiling`.
-    pub(crate) fn on_run_end(&mut self, now: clock::Millis, took: clock::Millis, has_met_target: bool, ceiling: u32) {
+    /// Takes a place for a query that begins to run.
+    pub(crate) fn begin_run(&mut self, now: clock::Millis) -> Run {
+        self.running += 1;
+        Run { started: now }
+    }
+
+    /// Takes the place of `run` back, records its time and adjusts the limit, up to `ceiling`.
+    pub(crate) fn end_run(&mut self, run: Run, now: clock::Millis, has_met_target: bool, ceiling: u32) {
+        self.running -= 1;
+        let took = now.since(run.started);
         self.observe_interval(now);
         self.run_times.record(took);
         if has_met_target {
--- a/crates/core/src/traffic/finish.rs
+++ b/crates/core/src/traffic/finish.rs
@@ -4,7 +4,7 @@
 
 use crate::{clock, id, invariant, mutant, view};
 
-use super::{event, gather::RETRY_AFTER, query, summary, why};
+use super::{class, event, gather::RETRY_AFTER, query, summary, why};
 
 /// The result of a query.
 struct Completion {
@@ -109,7 +109,7 @@
                 why = self.wait_reason(query);
             }
         }
-        let Some(query) = self.queries.remove(id.0) else {
+        let Some(mut query) = self.queries.remove(id.0) else {
             return;
         };
         self.remove_from_agenda(id);
@@ -124,8 +124,10 @@
             self.cancel(attempt);
         }
         self.remember_key(&query, outcome);
-        self.record_run(&query, outcome);
         self.record_wait(&query);
+        if let Some(run) = query.run.take() {
+            self.end_run(run, &query, outcome);
+        }
         self.record_summary(id, &query, outcome, code, &missing);
         self.outputs.push(event::Output::Answer(event::Answer {
             caller: query.caller,
@@ -157,18 +159,13 @@
         self.keys.end(key, (outcome != event::Outcome::NotRun).then_some(until));
     }
 
-    fn record_run(&mut self, query: &query::Query, outcome: event::Outcome) {
-        let Some(started) = query.started else {
-            return;
-        };
-        let took = self.now.since(started);
+    fn end_run(&mut self, run: class::Run, query: &query::Query, outcome: event::Outcome) {
+        let took = self.now.since(run.started());
         let selector = query.selector();
         let time_limit = selector.settle.unwrap_or(selector.deadline);
         let target = selector.target_latency.unwrap_or_else(|| time_limit.scale(self.policy.latency_target.get()));
         let is_within_target = outcome == event::Outcome::Answered && took <= target;
-        let class = &mut self.classes[query.class];
-        class.running = class.running.saturating_sub(1);
-        class.on_run_end(self.now, took, is_within_target, self.policy.running_ceiling);
+        self.classes[query.class].end_run(run, self.now, is_within_target, self.policy.running_ceiling);
     }
 
     /// The time by which an answer sent now misses its target latency; `None` if it meets it or has none.
--- a/crates/core/src/traffic/gather.rs
+++ b/crates/core/src/traffic/gather.rs
@@ -354,7 +354,7 @@
         let Some(query) = self.queries.get(id.0) else {
             return;
         };
-        if query.started.is_none() || query.is_dispatching {
+        if query.run.is_none() || query.is_dispatching {
             return;
         }
         let selector = query.selector();
@@ -471,7 +471,7 @@
         let Some(query) = self.queries.get(id.0) else {
             return;
         };
-        if query.started.is_none() {
+        if query.run.is_none() {
             let retry_after = self.classes[query.class].retry_after();
             self.finish_unanswered(id, event::Code::Expired, Some(retry_after));
             return;
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -217,7 +217,7 @@
 
     /// Name, running queries, concurrency limit and queue length of each class.
     pub fn admission(&self) -> impl Iterator<Item = (&str, u32, u32, usize)> {
-        self.classes.values().map(|class| (class.name.as_str(), class.running, class.limit(), class.queue.len()))
+        self.classes.values().map(|class| (class.name.as_str(), class.running(), class.limit(), class.queue.len()))
     }
 
     /// Whether the time since the previous step shows that the process was stopped.
--- a/crates/core/src/traffic/query.rs
+++ b/crates/core/src/traffic/query.rs
@@ -6,7 +6,7 @@
 
 use crate::{clock, id, suspect, view};
 
-use super::event;
+use super::{class, event};
 
 /// Number of servers remembered as tried for one shard; older ones may be tried again.
 pub(crate) const MAX_TRIED: usize = 4;
@@ -151,7 +151,8 @@
     pub(crate) is_canary: bool,
     pub(crate) arrived: clock::Millis,
     pub(crate) deadline: clock::Millis,
-    pub(crate) started: Option<clock::Millis>,
+    /// Its place among the running queries of its class; `None` while it waits for one.
+    pub(crate) run: Option<class::Run>,
     /// When an answer with the least coverage may be sent although shards are silent.
     pub(crate) settle_at: Option<clock::Millis>,
     /// Whether it is forwarded to another host.
--- a/crates/core/src/traffic/urgency.rs
+++ b/crates/core/src/traffic/urgency.rs
@@ -349,9 +349,10 @@
     /// shard that still waits counts with its time so far. A host that relays requests of the class does not count those
     /// that it gathers itself for once: its few connections show nothing about the servers' capacity.
     pub(super) fn record_wait(&mut self, query: &query::Query) {
-        let (Some(started), Some(_)) = (query.started, self.policy.urgency) else {
+        let (Some(run), Some(_)) = (&query.run, self.policy.urgency) else {
             return;
         };
+        let started = run.started();
         if query.selector().relay.is_some() || query.shards.is_empty() {
             return;
         }
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -35,6 +35,12 @@
     })
 }
 
+fn answered(attempt: id::Attempt) -> event::Input {
+    let snapshot = view::Snapshot { epoch: 1, version: 1 };
+    let part = event::Part { snapshot, held: None, hits: 1, load: None, queue: None };
+    event::Input::Reply { attempt, reply: event::Reply::Answered(part) }
+}
+
 /// Number of requests of the highest priority that are sent before one of the lowest, if 40 wait. With `swapped`, a new
 /// view swaps the priorities while they wait.
 fn sent_before(urgency: Option<Policy>, is_swapped: bool) -> usize {
@@ -59,10 +65,7 @@
         if caller == id::Caller(LAST) {
             return sent as usize;
         }
-        let snapshot = view::Snapshot { epoch: 1, version: 1 };
-        let part = event::Part { snapshot, held: None, hits: 1, load: None, queue: None };
-        let reply = event::Input::Reply { attempt, reply: event::Reply::Answered(part) };
-        next = dispatched(core.step(clock::Millis(10 + sent), [reply]));
+        next = dispatched(core.step(clock::Millis(10 + sent), [answered(attempt)]));
     }
     unreachable!("the last request was sent")
 }
@@ -81,3 +84,28 @@
 fn a_new_view_orders_waiting_requests() {
     assert_eq!(sent_before(Some(Policy::default()), true), 1);
 }
+
+/// Guards against a place among the running queries that is never given back, because the class of a waiting query is
+/// removed before it starts.
+#[test]
+fn a_class_that_is_removed_while_queries_wait_is_served_when_it_returns() {
+    let policy = policy::Policy { adaptive_admission: false, running_ceiling: 1, ..policy::Policy::default() };
+    let mut core = traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
+    let view = one_leaf::view(9);
+    core.step(clock::Millis(1), [event::Input::View(Arc::clone(&view))]);
+    let running = dispatched(core.step(clock::Millis(2), [event::Input::Request(one_leaf::request(1))]));
+    let (attempt, _) = running.expect("a request was sent");
+    for caller in 2..5 {
+        assert!(dispatched(core.step(clock::Millis(2), [event::Input::Request(one_leaf::request(caller))])).is_none());
+    }
+    let mut next = view::View::clone(&view);
+    next.stamp.version += 1;
+    next.classes.clear();
+    core.step(clock::Millis(3), [event::Input::View(Arc::new(next.clone()))]);
+    core.step(clock::Millis(4), [answered(attempt)]);
+    next.stamp.version += 1;
+    next.classes = view.classes.clone();
+    core.step(clock::Millis(5), [event::Input::View(Arc::new(next))]);
+    let outputs = core.step(clock::Millis(6), [event::Input::Request(one_leaf::request(9))]);
+    assert_eq!(dispatched(outputs).map(|(_, caller)| caller), Some(id::Caller(9)));
+}
