Route waiting requests again when their class is removed

Callers do not retry a 404.

Cause: a waiting query keeps the name of its class from its arrival. When its turn came, that name was looked up in the view in force, and without it the query ended as if no route matched its request.

Change: the core hands the waiting queries of a removed class back as soon as the view is in force (`Output::Reroute`); they were sent to no server. The node looks their destination up in that view and admits them as new requests of the same callers, with the rest of their time. It does so after the other outputs of the step, since it steps the core again. What no route matches gets its 404 at once.

The test of the core does not compile on the code before, which has no such output.

--- a/crates/core/benches/decisions/run.rs
+++ b/crates/core/benches/decisions/run.rs
@@ -265,6 +265,7 @@
                 event::Output::Cancel { attempt } => self.cancel(host, attempt),
                 event::Output::Answer(answer) => self.answer(host, &answer),
                 event::Output::Breach(breach) => panic!("{breach:?}"),
+                event::Output::Reroute { .. } => unreachable!("no class is removed"),
                 event::Output::Trim { .. }
                 | event::Output::Revalidate
                 | event::Output::Demand { .. }
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -294,7 +294,7 @@
             return;
         }
         if !self.view.classes.contains_key(&query.selector().name) {
-            self.finish_unanswered(id, event::Code::UnknownClass, None);
+            self.reroute(id);
             return;
         }
         let class = query.class;
--- a/crates/core/src/traffic/event.rs
+++ b/crates/core/src/traffic/event.rs
@@ -188,6 +188,16 @@
     },
     /// Send a caller the single answer to its request.
     Answer(Answer),
+    /// Route a request again under the view in force, as a new [`Input::Request`] of the same caller. It was sent to no
+    /// server, and its class is gone.
+    Reroute {
+        /// The caller, which has no answer yet.
+        caller: id::Caller,
+        /// Time from now until the caller gives up.
+        timeout: clock::Millis,
+        /// Time since the request arrived.
+        waited: clock::Millis,
+    },
     /// Limit the connections to a server, because this core's share of them changed.
     Trim {
         /// The server whose connections are limited.
--- a/crates/core/src/traffic/finish.rs
+++ b/crates/core/src/traffic/finish.rs
@@ -109,14 +109,9 @@
                 why = self.wait_reason(query);
             }
         }
-        let Some(mut query) = self.queries.remove(id.0) else {
+        let Some(mut query) = self.withdraw(id) else {
             return;
         };
-        self.remove_from_agenda(id);
-        if self.callers.swap_remove(&query.caller) != Some(id) {
-            self.breach(invariant::Name::OwnWholeAnswer, format!("{id}: not the query of {:?}", query.caller));
-        }
-        self.report_unused_trial(&query);
         for attempt in query.shards.iter().flat_map(|shard| shard.live).flatten() {
             if outcome != event::Outcome::Answered && query.last_answer.is_none() {
                 self.record_abandoned(&query, attempt);
@@ -148,7 +143,18 @@
         }));
     }
 
-    fn remember_key(&mut self, query: &query::Query, outcome: event::Outcome) {
+    /// Removes a query from the tables, without an answer to its caller.
+    pub(super) fn withdraw(&mut self, id: id::Query) -> Option<query::Query> {
+        let query = self.queries.remove(id.0)?;
+        self.remove_from_agenda(id);
+        if self.callers.swap_remove(&query.caller) != Some(id) {
+            self.breach(invariant::Name::OwnWholeAnswer, format!("{id}: not the query of {:?}", query.caller));
+        }
+        self.report_unused_trial(&query);
+        Some(query)
+    }
+
+    pub(super) fn remember_key(&mut self, query: &query::Query, outcome: event::Outcome) {
         let Some(key) = &query.key else {
             return;
         };
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -31,6 +31,7 @@
 mod query;
 mod relay;
 pub mod repeats;
+mod reroute;
 mod server;
 mod standing;
 pub mod summary;
@@ -313,6 +314,7 @@
         let leaving = self.view.servers.iter().flatten().filter(|server| server.leaving).count();
         let evacuated = self.view.servers.iter().flatten().filter(|server| server.evacuated).count();
         self.log(note::Note::View { servers, leaving, evacuated });
+        self.reroute_waiting();
     }
 
     /// Clears `is_replaced` for servers whose address in `view` differs from the one in the current view, or that
--- a/crates/core/tests/driver/simulation.rs
+++ b/crates/core/tests/driver/simulation.rs
@@ -304,6 +304,7 @@
                 let shards = if answer.class == "letter" { 1 } else { documents::SHARDS };
                 self.oracle.on_answer(requester, &answer, shards);
             }
+            event::Output::Reroute { .. } => panic!("no class of this simulation is removed"),
             event::Output::Revalidate => {
                 self.at(self.now, Event::Control { host, life, input: control::Input::Revalidate });
             }
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -85,27 +85,59 @@
     assert_eq!(sent_before(Some(Policy::default()), true), 1);
 }
 
-/// Guards against a place among the running queries that is never given back, because the class of a waiting query is
-/// removed before it starts.
-#[test]
-fn a_class_that_is_removed_while_queries_wait_is_served_when_it_returns() {
+/// A core that runs one query at a time, with one that runs and three that wait.
+fn waiting_core() -> (traffic::Core, id::Attempt) {
     let policy = policy::Policy { adaptive_admission: false, running_ceiling: 1, ..policy::Policy::default() };
     let mut core = traffic::Core::new(policy, traffic::Lane { index: 0, count: 1 }, 1, clock::Millis(1));
-    let view = one_leaf::view(9);
-    core.step(clock::Millis(1), [event::Input::View(Arc::clone(&view))]);
+    core.step(clock::Millis(1), [event::Input::View(one_leaf::view(9))]);
     let running = dispatched(core.step(clock::Millis(2), [event::Input::Request(one_leaf::request(1))]));
-    let (attempt, _) = running.expect("a request was sent");
     for caller in 2..5 {
         assert!(dispatched(core.step(clock::Millis(2), [event::Input::Request(one_leaf::request(caller))])).is_none());
     }
-    let mut next = view::View::clone(&view);
-    next.stamp.version += 1;
-    next.classes.clear();
-    core.step(clock::Millis(3), [event::Input::View(Arc::new(next.clone()))]);
+    (core, running.expect("a request was sent").0)
+}
+
+/// The next view of `core`, whose only class has the given name.
+fn next_view(core: &traffic::Core, name: &'static str) -> event::Input {
+    let mut view = view::View::clone(core.view());
+    view.stamp.version += 1;
+    let name = CompactString::const_new(name);
+    let class = view::Class { name: name.clone(), ..view.classes[0].clone() };
+    view.classes = [(name, class)].into_iter().collect();
+    event::Input::View(Arc::new(view))
+}
+
+/// Guards against a place among the running queries that is never given back, because the class of a waiting query is
+/// removed before it starts.
+#[test]
+fn a_class_that_is_removed_while_queries_wait_is_served_when_it_returns() {
+    let (mut core, attempt) = waiting_core();
+    let removed = next_view(&core, "other");
+    core.step(clock::Millis(3), [removed]);
     core.step(clock::Millis(4), [answered(attempt)]);
-    next.stamp.version += 1;
-    next.classes = view.classes.clone();
-    core.step(clock::Millis(5), [event::Input::View(Arc::new(next))]);
+    let restored = next_view(&core, "ask");
+    core.step(clock::Millis(5), [restored]);
     let outputs = core.step(clock::Millis(6), [event::Input::Request(one_leaf::request(9))]);
     assert_eq!(dispatched(outputs).map(|(_, caller)| caller), Some(id::Caller(9)));
 }
+
+/// Guards against waiting requests that are denied when their class is removed, although another class allows them.
+#[test]
+fn queries_that_wait_for_a_removed_class_are_routed_again() {
+    let (mut core, attempt) = waiting_core();
+    let removed = next_view(&core, "wide");
+    let mut rerouted = Vec::new();
+    for output in core.step(clock::Millis(12), [removed]) {
+        match output {
+            event::Output::Reroute { caller, timeout, waited } => rerouted.push((caller, timeout, waited)),
+            event::Output::Answer(answer) => panic!("{answer:?}"),
+            _ => {}
+        }
+    }
+    let (timeout, waited) = (one_leaf::DEADLINE - clock::Millis(10), clock::Millis(10));
+    assert_eq!(rerouted, [2, 3, 4].map(|caller| (id::Caller(caller), timeout, waited)));
+    core.step(clock::Millis(12), [answered(attempt)]);
+    let wide = event::Request { class: CompactString::const_new("wide"), ..one_leaf::request(2) };
+    let outputs = core.step(clock::Millis(12), [event::Input::Request(wide)]);
+    assert_eq!(dispatched(outputs).map(|(_, caller)| caller), Some(id::Caller(2)));
+}
--- a/crates/node/src/lane/mod.rs
+++ b/crates/node/src/lane/mod.rs
@@ -122,6 +122,7 @@
 
 struct Caller {
     request: Rc<protocol::Request>,
+    relayed: Option<traffic::event::Relayed>,
     reply: oneshot::Sender<Answer>,
 }
 
@@ -197,32 +198,62 @@
         relayed: Option<traffic::event::Relayed>,
     ) -> (id::Caller, oneshot::Receiver<Answer>) {
         let (reply, receiver) = oneshot::channel();
-        let class = self.class(&request.head.destination);
-        if class.is_empty() {
-            tracing::info!(request = %request.head.name, to = ?request.head.destination, "no route");
-        }
-        let key = request.head.key.clone();
-        let fingerprint = Some(fingerprint::of(&request));
+        let request = Rc::new(request);
         let caller = {
             let mut state = self.state.borrow_mut();
             state.next_caller += 1;
             let caller = id::Caller(state.next_caller);
-            state.callers.insert(caller, Caller { request: Rc::new(request), reply });
+            state.callers.insert(caller, Caller { request: Rc::clone(&request), relayed, reply });
             caller
         };
-        let request = traffic::event::Request { caller, class, timeout: caller_timeout, key, relayed, fingerprint };
-        self.step([traffic::event::Input::Request(request)]);
+        self.route(caller, &request, caller_timeout, relayed);
         (caller, receiver)
     }
 
+    /// Passes a request to the core, with the class that serves it under the view in force.
+    fn route(
+        self: &Rc<Self>,
+        caller: id::Caller,
+        request: &protocol::Request,
+        timeout: Option<clock::Millis>,
+        relayed: Option<traffic::event::Relayed>,
+    ) {
+        let class = self.class(&request.head.destination);
+        if class.is_empty() {
+            tracing::info!(request = %request.head.name, to = ?request.head.destination, "no route");
+        }
+        let key = request.head.key.clone();
+        let fingerprint = Some(fingerprint::of(request));
+        let request = traffic::event::Request { caller, class, timeout, key, relayed, fingerprint };
+        self.step([traffic::event::Input::Request(request)]);
+    }
+
+    /// Routes a request again that the core handed back after `waited`.
+    fn reroute(self: &Rc<Self>, caller: id::Caller, timeout: clock::Millis, waited: clock::Millis) {
+        let (request, relayed) = {
+            let mut state = self.state.borrow_mut();
+            let Some(entry) = state.callers.get_mut(&caller) else {
+                return;
+            };
+            if let Some(relayed) = &mut entry.relayed {
+                relayed.settle = relayed.settle.map(|settle| settle - waited);
+            }
+            (Rc::clone(&entry.request), entry.relayed)
+        };
+        tracing::info!(request = %request.head.name, waited_ms = waited.0, "routed a waiting request again");
+        self.route(caller, &request, Some(timeout), relayed);
+    }
+
     /// Runs the core and executes its outputs.
     pub(crate) fn step<const N: usize>(self: &Rc<Self>, inputs: [traffic::event::Input; N]) {
         let now = self.now();
-        let (outputs, next) = {
+        let (mut outputs, next) = {
             let mut state = self.state.borrow_mut();
             let outputs = state.core.step(now, inputs);
             (outputs, state.core.next_timer())
         };
+        // A reroute steps the core again, and outputs must be executed in order.
+        outputs.sort_by_key(|output| matches!(output, traffic::event::Output::Reroute { .. }));
         for output in outputs {
             self.execute(output);
         }
@@ -236,6 +267,7 @@
             traffic::event::Output::Dispatch(dispatch) => self.dispatch(dispatch),
             traffic::event::Output::Cancel { attempt } => self.cancel(attempt),
             traffic::event::Output::Answer(answer) => self.answer(answer),
+            traffic::event::Output::Reroute { caller, timeout, waited } => self.reroute(caller, timeout, waited),
             traffic::event::Output::Trim { server, limit } => {
                 self.state.borrow_mut().pools.trim(server, limit as usize);
             }
