--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -153,7 +153,7 @@
 }
 
 impl End {
-    /// Separates what the core is told from the payload, which stays with the connection's thread.
+    /// Separates the event for the core from the payload, which the core does not see.
     pub fn split(self) -> (event::Reply, Option<Payload>) {
         match self {
             Self::Answered { part, payload } => (event::Reply::Answered(part), Some(payload)),
